SIGHUP reads the configuration again and moves discovery and notices to its address

Lines to blame: main::run, which knew SIGTERM only; discovery::follow and notices::send, bound to one address.

The handlers now stand before anything is awaited. A watch channel carries the address: a post in work is repeated at the new one, and discovery is asked for its whole list first, since a version of the old one need not be known there. A watch that tells an older version than was asked for ends in a whole list too.

--- a/sender/src/calls.rs
+++ b/sender/src/calls.rs
@@ -91,6 +91,10 @@
         Ok(Connection { requests, driver: Some(driver), written, addr, since: Instant::now() })
     }
 
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
     /// Runs the connection until `work` is done.
     pub async fn drive<F: Future>(&mut self, work: F) -> F::Output {
         let mut work = pin!(work);
--- a/sender/src/discovery.rs
+++ b/sender/src/discovery.rs
@@ -7,6 +7,7 @@
 use heronroute_wirehost::settings::Names;
 use http_body_util::{BodyExt, Full};
 use hyper::Request;
+use hyper::body::Incoming;
 use serde::Deserialize;
 use std::cell::RefCell;
 use std::collections::{HashMap, HashSet};
@@ -14,7 +15,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 
 /// The watch says something every 2 s; a silence this long means that it is dead.
 const SILENCE: Duration = Duration::from_secs(5);
@@ -126,56 +127,129 @@
 }
 
 /// Follows the list for ever. The fleet is changed as soon as a line is read, so that a drain stops calls that
-/// have not begun; the driver is told of it in order.
-pub async fn follow(addr: SocketAddr, index: u64, fleet: Rc<RefCell<Fleet>>, driver: mpsc::Sender<Input>) {
-    let (mut index, mut pause) = (index, RETRY_FIRST);
+/// have not begun; the driver is told of it in order. When discovery's address changes, the new one is asked at
+/// once, and for the whole list: it may not know the version that the old one last told.
+pub async fn follow(
+    mut addr: watch::Receiver<SocketAddr>,
+    index: u64,
+    fleet: Rc<RefCell<Fleet>>,
+    driver: mpsc::Sender<Input>,
+) {
+    let (mut index, mut pause) = (Some(index).filter(|i| *i > 0), RETRY_FIRST);
     loop {
-        let before = index;
-        match watch(addr, &mut index, &fleet, &driver).await {
-            Ok(()) => {}
-            Err(e) => eprintln!("discovery: {e}"),
+        let (at, before) = (*addr.borrow_and_update(), index);
+        let work = async {
+            if let Err(e) = watch(at, &mut index, &fleet, &driver).await {
+                eprintln!("discovery: {e}");
+            }
+            pause = if index == before { (pause * 2).min(RETRY_MOST) } else { RETRY_FIRST };
+            tokio::time::sleep(pause).await;
+        };
+        tokio::select! {
+            biased;
+            // The other end of the channel lasts as long as the process.
+            _ = addr.changed() => (index, pause) = (None, RETRY_FIRST),
+            () = work => {}
+        }
+    }
+}
+
+/// Lists of endpoints as they are told, one a line.
+struct Lines {
+    connection: Connection,
+    body: Incoming,
+    text: Vec<u8>,
+}
+
+impl Lines {
+    async fn ask(mut connection: Connection, path: &str) -> io::Result<Lines> {
+        let addr = connection.addr().to_string();
+        let request = Request::get(path).header("host", addr).body(Full::new(Bytes::new()));
+        let answer = connection.send(request.map_err(io::Error::other)?);
+        let response =
+            tokio::time::timeout(SILENCE, answer).await.map_err(silent)?.map_err(io::Error::other)?;
+        if response.status() != 200 {
+            return Err(io::Error::other(format!("status {}", response.status())));
+        }
+        Ok(Lines { connection, body: response.into_body(), text: Vec::new() })
+    }
+
+    /// Reads on; false at the end.
+    async fn read(&mut self) -> io::Result<bool> {
+        if self.text.len() > LINE_MOST {
+            return Err(io::Error::other("a line is too long"));
+        }
+        let frame = self.connection.drive(self.body.frame());
+        let Some(frame) = tokio::time::timeout(SILENCE, frame).await.map_err(silent)? else {
+            return Ok(false);
+        };
+        if let Ok(data) = frame.map_err(io::Error::other)?.into_data() {
+            self.text.extend_from_slice(&data);
+        }
+        Ok(true)
+    }
+
+    /// All of it as one list.
+    async fn whole(mut self) -> io::Result<Listing> {
+        while self.read().await? {}
+        Ok(serde_json::from_slice(&self.text)?)
+    }
+
+    async fn next(&mut self) -> io::Result<Option<Listing>> {
+        loop {
+            match self.text.iter().position(|b| *b == b'\n') {
+                Some(end) => {
+                    let line: Vec<u8> = self.text.drain(..=end).collect();
+                    if !line.iter().all(u8::is_ascii_whitespace) {
+                        return Ok(Some(serde_json::from_slice(&line)?));
+                    }
+                }
+                None if !self.read().await? => return Ok(None),
+                None => {}
+            }
         }
-        pause = if index == before { (pause * 2).min(RETRY_MOST) } else { RETRY_FIRST };
-        tokio::time::sleep(pause).await;
     }
 }
 
+fn silent<E>(_: E) -> io::Error {
+    io::Error::new(io::ErrorKind::TimedOut, "silent")
+}
+
+/// Takes the whole list, unless its version `index` is known, and then its changes until the connection ends.
 async fn watch(
     addr: SocketAddr,
-    index: &mut u64,
+    index: &mut Option<u64>,
     fleet: &RefCell<Fleet>,
     driver: &mpsc::Sender<Input>,
 ) -> io::Result<()> {
-    let silent = |_| io::Error::new(io::ErrorKind::TimedOut, "silent");
-    let mut connection = tokio::time::timeout(SILENCE, Connection::open(addr)).await.map_err(silent)??;
-    let path = format!("/v1/servers?follow=1&since={index}");
-    let request = Request::get(path).header("host", addr.to_string()).body(Full::new(Bytes::new()));
-    let request = request.map_err(io::Error::other)?;
-    let answer = connection.send(request);
-    let response = tokio::time::timeout(SILENCE, answer).await.map_err(silent)?.map_err(io::Error::other)?;
-    if response.status() != 200 {
-        return Err(io::Error::other(format!("status {}", response.status())));
-    }
-    let mut body = response.into_body();
-    let mut text = Vec::new();
-    loop {
-        let frame = connection.drive(body.frame());
-        let Some(frame) = tokio::time::timeout(SILENCE, frame).await.map_err(silent)? else { return Ok(()) };
-        let Ok(data) = frame.map_err(io::Error::other)?.into_data() else { continue };
-        text.extend_from_slice(&data);
-        while let Some(end) = text.iter().position(|b| *b == b'\n') {
-            let line: Vec<u8> = text.drain(..=end).collect();
-            if line.iter().all(u8::is_ascii_whitespace) {
-                continue;
-            }
-            let listing: Listing = serde_json::from_slice(&line)?;
-            *index = listing.index;
-            let entries = fleet.borrow_mut().apply(&listing);
-            let news = Input::Members { index: listing.index, whole: listing.snapshot, entries };
-            driver.send(news).await.map_err(io::Error::other)?;
+    let tell = async |listing: Listing| {
+        let entries = fleet.borrow_mut().apply(&listing);
+        let news = Input::Members { index: listing.index, whole: listing.snapshot, entries };
+        driver.send(news).await.map_err(io::Error::other)
+    };
+    let open = async || tokio::time::timeout(SILENCE, Connection::open(addr)).await.map_err(silent)?;
+    let since = match *index {
+        Some(since) => since,
+        None => {
+            let list = Lines::ask(open().await?, "/v1/servers").await?.whole().await?;
+            let since = list.index;
+            tell(Listing { snapshot: true, ..list }).await?;
+            *index = Some(since);
+            since
         }
-        if text.len() > LINE_MOST {
-            return Err(io::Error::other("a line is too long"));
+    };
+    // Until it has answered: a version that it does not know must not be asked for again and again.
+    *index = None;
+    let mut lines = Lines::ask(open().await?, &format!("/v1/servers?follow=1&since={since}")).await?;
+    let mut known = since;
+    while let Some(list) = lines.next().await? {
+        if list.index < known && !list.snapshot {
+            *index = None;
+            return Err(io::Error::other(format!("version {known} was asked for, {} told", list.index)));
         }
+        known = list.index;
+        tell(list).await?;
+        *index = Some(known);
     }
+    Ok(())
 }
--- a/sender/src/main.rs
+++ b/sender/src/main.rs
@@ -14,12 +14,12 @@
 use std::cell::RefCell;
 use std::error::Error;
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{mpsc, watch};
 
 const CONNECT_TIMEOUT: i64 = 1_500_000;
@@ -52,16 +52,41 @@
     }
 }
 
+impl Config {
+    fn read(path: &Path) -> Result<Self, String> {
+        let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
+        serde_json::from_str(&text).map_err(|e| format!("{}: {e}", path.display()))
+    }
+}
+
+/// Takes over what a new configuration may change in a running sender, which is where discovery is. The rest
+/// holds from the next start on. A file that cannot be read or is wrong changes nothing.
+async fn reload(path: PathBuf, mut hang_up: Signal, discovery: watch::Sender<SocketAddr>) {
+    while hang_up.recv().await.is_some() {
+        match Config::read(&path) {
+            Ok(config) => {
+                let moved = discovery.send_if_modified(|addr| {
+                    let before = std::mem::replace(addr, config.discovery);
+                    before != *addr
+                });
+                let word = if moved { "now" } else { "still" };
+                eprintln!("configuration read again: discovery is {word} at {}", config.discovery);
+            }
+            Err(e) => eprintln!("configuration: {e}; the old one stays"),
+        }
+    }
+}
+
 async fn run() -> Result<(), Box<dyn Error>> {
+    // Before anything is awaited: by default either signal ends the process.
+    let (mut terminate, hang_up) = (signal(SignalKind::terminate())?, signal(SignalKind::hangup())?);
     let var = |name: &str| std::env::var(name).map_err(|_| format!("{name} is not set"));
-    let path = var("LB_CONFIG")?;
-    let text = std::fs::read_to_string(&path).map_err(|e| format!("{path}: {e}"))?;
-    let config: Config = serde_json::from_str(&text).map_err(|e| format!("{path}: {e}"))?;
+    let path = PathBuf::from(var("LB_CONFIG")?);
+    let config = Config::read(&path)?;
     let state = PathBuf::from(var("LB_STATE")?);
     let journal = journal::Journal::open(&state, (config.limits.disk_mb * 1e6) as u64)
         .map_err(|e| format!("journal in {}: {e}", state.display()))?;
 
-    let mut terminate = signal(SignalKind::terminate())?;
     let names = config.settings.names();
     let connect_timeout = config.settings.connect_timeout().unwrap_or(CONNECT_TIMEOUT).max(1);
     let settings = config.settings.settings();
@@ -77,6 +102,7 @@
     let (inputs, inbox) = mpsc::channel(INPUTS_MOST);
     let (notices, queue) = mpsc::unbounded_channel();
     let (phase, follow_phase) = watch::channel(clients::Phase::Starting);
+    let (discovery, follow_discovery) = watch::channel(config.discovery);
     let listener =
         TcpListener::bind(config.listen).await.map_err(|e| format!("listen on {}: {e}", config.listen))?;
     let index = config.known.as_ref().map_or(0, |l| l.index);
@@ -93,8 +119,9 @@
         phase,
     })?;
     tokio::task::spawn_local(clients::serve(listener, quarter, inputs.clone(), follow_phase));
-    tokio::task::spawn_local(discovery::follow(config.discovery, index, fleet, inputs.clone()));
-    tokio::task::spawn_local(notices::send(config.discovery, queue, inputs.clone()));
+    tokio::task::spawn_local(discovery::follow(follow_discovery.clone(), index, fleet, inputs.clone()));
+    tokio::task::spawn_local(notices::send(follow_discovery, queue, inputs.clone()));
+    tokio::task::spawn_local(reload(path, hang_up, discovery));
     tokio::task::spawn_local(async move {
         terminate.recv().await;
         _ = inputs.send(Input::Stop).await;
--- a/sender/src/notices.rs
+++ b/sender/src/notices.rs
@@ -10,7 +10,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 
 const BATCH_MOST: usize = 200;
 const PATIENCE: Duration = Duration::from_millis(1000);
@@ -25,24 +25,41 @@
     pub end: End,
 }
 
-/// Sends notices for ever. The queue holds at most what the journal has room for.
-pub async fn send(addr: SocketAddr, mut queue: mpsc::UnboundedReceiver<Notice>, driver: mpsc::Sender<Input>) {
+/// Sends notices for ever. The queue holds at most what the journal has room for. When the platform's address
+/// changes, a post in work is repeated at the new one: telling an end twice does no harm.
+pub async fn send(
+    mut addr: watch::Receiver<SocketAddr>,
+    mut queue: mpsc::UnboundedReceiver<Notice>,
+    driver: mpsc::Sender<Input>,
+) {
     let mut kept: Option<Connection> = None;
     let mut batch = Vec::new();
     while queue.recv_many(&mut batch, BATCH_MOST).await > 0 {
         let body = Bytes::from(batch.iter().map(line).collect::<String>());
         let mut pause = RETRY_FIRST;
         loop {
-            match tokio::time::timeout(PATIENCE, post(addr, kept.take(), body.clone())).await {
-                Ok(Ok(connection)) => {
-                    kept = connection;
-                    break;
+            let to = *addr.borrow_and_update();
+            let work = async {
+                match tokio::time::timeout(PATIENCE, post(to, kept.take(), body.clone())).await {
+                    Ok(Ok(connection)) => return Ok(connection),
+                    Ok(Err(e)) => eprintln!("notices: {e}"),
+                    Err(_) => eprintln!("notices: no answer"),
                 }
-                Ok(Err(e)) => eprintln!("notices: {e}"),
-                Err(_) => eprintln!("notices: no answer"),
+                tokio::time::sleep(pause).await;
+                Err(())
+            };
+            tokio::select! {
+                biased;
+                posted = work => match posted {
+                    Ok(connection) => {
+                        kept = connection;
+                        break;
+                    }
+                    Err(()) => pause = (pause * 2).min(RETRY_MOST),
+                },
+                // The other end of the channel lasts as long as the process.
+                _ = addr.changed() => pause = RETRY_FIRST,
             }
-            tokio::time::sleep(pause).await;
-            pause = (pause * 2).min(RETRY_MOST);
         }
         let told = Input::Noticed(batch.drain(..).map(|n| n.id).collect());
         if driver.send(told).await.is_err() {
@@ -62,7 +79,7 @@
 }
 
 async fn post(addr: SocketAddr, kept: Option<Connection>, body: Bytes) -> io::Result<Option<Connection>> {
-    let mut connection = match kept.and_then(Connection::if_usable) {
+    let mut connection = match kept.filter(|c| c.addr() == addr).and_then(Connection::if_usable) {
         Some(connection) => connection,
         None => Connection::open(addr).await?,
     };
--- a/sender/tests/clients.rs
+++ b/sender/tests/clients.rs
@@ -258,8 +258,9 @@
     platform.tell(false, vec![]);
     platform.drop_watches();
     platform.tell(false, vec![line("s-9", other.addr, "one", 9, "Ready")]);
-    wait_until("the watch again", || platform.paths().len() >= 2);
-    assert!(platform.paths()[1].contains("follow=1&since=8"), "{:?}", platform.paths());
+    let watches = || platform.paths().into_iter().filter(|p| p.contains("follow=1")).collect::<Vec<_>>();
+    wait_until("the watch again", || watches().len() >= 2);
+    assert!(watches()[1].contains("since=8"), "{:?}", platform.paths());
     assert_eq!(sender.client().put("a1", "c=pay,d=15000,dest=9"), "+OK");
     other.wait_sent("a1");
 }
--- a/sender/tests/common/mod.rs
+++ b/sender/tests/common/mod.rs
@@ -222,6 +222,13 @@
                         }
                         let mut w = watchers.lock().unwrap();
                         w.paths.push(request.line.clone());
+                        if !request.line.contains("follow") {
+                            let list = json!({"index": w.index, "snapshot": true, "endpoints": w.whole});
+                            let list = list.to_string();
+                            let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", list.len());
+                            _ = stream.write_all((head + &list).as_bytes());
+                            continue;
+                        }
                         _ = stream.write_all(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n");
                         let since = request
                             .line
@@ -268,6 +275,11 @@
         }
     }
 
+    /// Sets the version of the list, as told next.
+    pub fn set_index(&self, index: u64) {
+        self.watchers.lock().unwrap().index = index;
+    }
+
     pub fn paths(&self) -> Vec<String> {
         self.watchers.lock().unwrap().paths.clone()
     }
@@ -410,8 +422,17 @@
 
     /// SIGTERM.
     pub fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    /// SIGHUP.
+    pub fn hang_up(&self) {
+        self.signal("-HUP");
+    }
+
+    fn signal(&self, name: &str) {
         let pid = self.child.as_ref().unwrap().id().to_string();
-        assert!(Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
+        assert!(Command::new("kill").args([name, &pid]).status().unwrap().success());
     }
 
     pub fn wait_exit(&mut self) -> ExitStatus {
