Clients' connections are bounded in time, number and bytes; what no sender could take on is an error

Ruled out: CPU (0.04 s in the busiest second of 0.2 allowed), memory (3 MB of 32), the module (2.5 % of its calls refused, as before). Lines to blame: clients::serve, where clients that asked once kept their places for good and newcomers were turned away at a quarter of the descriptors; Driver::put, which took on usize::MAX for a class and any destination.

A third of the descriptors is for clients; what calls, probes and the sender's own files leave is for idle connections. A connection on which nothing is open closes after 2 s, a half-sent command after 0.9 s; when all places are taken the one idle longest gives way, first of all one that never asked anything. Long commands and unanswered messages share an eighth of the memory each. An error is followed by a half-close and a bounded drain. Unknown classes, tenants and destinations, times beyond the class's and keyed messages without a key get -ERR; a destination is known for an hour after its last endpoint. Gone endpoints keep their number for a minute.

--- a/sender/src/calls.rs
+++ b/sender/src/calls.rs
@@ -23,9 +23,11 @@
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::sync::oneshot;
+use tokio::sync::{Semaphore, oneshot};
 
 const ANSWER_MOST: usize = 64 * 1024;
+/// Probes that are out at once: each takes a descriptor beside those of the calls.
+pub const PROBES_MOST: usize = 8;
 
 /// How much of what was to be written has been handed to the socket.
 #[derive(Debug, Default)]
@@ -227,6 +229,7 @@
     idle: RefCell<HashMap<EndpointId, Vec<Connection>>>,
     waits: RefCell<HashMap<Lane, Instant>>,
     idle_most: usize,
+    probes: Semaphore,
     retire_after: Duration,
     connect_timeout: Duration,
 }
@@ -241,7 +244,8 @@
         // The other side may close at its limit at the latest, and what crosses that is reset.
         let retire_after = idle_close.mul_f64(0.8);
         let (idle, waits) = (RefCell::default(), RefCell::default());
-        Calls { fleet, idle, waits, idle_most, retire_after, connect_timeout }
+        let probes = Semaphore::new(PROBES_MOST);
+        Calls { fleet, idle, waits, idle_most, probes, retire_after, connect_timeout }
     }
 
     /// Whether a call may begin now: a drain or a wait may have been learnt since it was decided.
@@ -286,6 +290,9 @@
         let Some(mut connection) = connection.if_usable() else { return };
         connection.since = Instant::now();
         let mut idle = self.idle.borrow_mut();
+        if self.idle_most == 0 {
+            return;
+        }
         if idle.values().map(Vec::len).sum::<usize>() >= self.idle_most
             && let Some(oldest) = idle.values_mut().filter(|c| !c.is_empty()).min_by_key(|c| c[0].since)
         {
@@ -391,6 +398,7 @@
 
     /// Asks whether an endpoint is well.
     pub async fn probe(&self, endpoint: EndpointId, addr: SocketAddr) -> (Outcome, Option<Report>) {
+        let Ok(_one) = self.probes.try_acquire() else { return (Outcome::Skipped, None) };
         let work = async {
             let mut connection = match self.take(endpoint, addr) {
                 Some(c) => c,
--- a/sender/src/clients.rs
+++ b/sender/src/clients.rs
@@ -5,19 +5,38 @@
 
 use crate::driver::{Input, Put};
 use bytes::{Bytes, BytesMut};
+use std::cell::{Cell, OnceCell, RefCell};
+use std::collections::BTreeMap;
 use std::fmt;
+use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Semaphore, mpsc, oneshot, watch};
+use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, mpsc, oneshot, watch};
+use tokio::task::AbortHandle;
 
 const BODY_MOST: usize = 64 * 1024;
 const ARGS_MOST: usize = 16;
 const READ_AHEAD: usize = 4096;
 const COMMAND_MOST: usize = 2 * BODY_MOST;
+/// A buffer grows beyond this only with leave: most commands are shorter, and all connections' buffers at their
+/// longest would not fit the memory.
+const USUAL_MOST: usize = 8 * 1024;
+/// What a message that is not answered yet takes beside its body, at the most.
+const PUT_OVERHEAD: usize = 1024;
 /// Requests of one connection that are in work together when a client pipelines.
 const PIPELINE_MOST: usize = 64;
+/// A connection on which no request is open closes after this, also one that has never said anything.
+const IDLE_TIME: Duration = Duration::from_millis(2000);
+/// A command that has begun must have come to its end by then: together with the idle time under the 3 s after
+/// which a client that says nothing of use is to be turned away.
+const COMMAND_TIME: Duration = Duration::from_millis(900);
+/// A client that does not read its answers is left.
+const WRITE_TIME: Duration = Duration::from_secs(1);
+/// What is read and thrown away of a connection that is being ended.
+const DRAIN_MOST: usize = 256 * 1024;
+const DRAIN_TIME: Duration = Duration::from_secs(1);
 
 /// How far the sender is: clients' connections follow it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -32,8 +51,12 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reply {
     Taken,
-    Busy { after_ms: u64 },
+    Busy {
+        after_ms: u64,
+    },
     Failed,
+    /// It can't be taken on by any sender.
+    Wrong(&'static str),
 }
 
 #[derive(Debug, PartialEq, Eq)]
@@ -115,18 +138,85 @@
     Ok(p)
 }
 
-/// An answer that is known, or one that the driver will give.
+/// An answer that is known, or one that the driver will give; its message's bytes are counted until then.
 enum Answer {
     Now(String),
     Ready,
-    Later(oneshot::Receiver<Reply>),
+    Later(oneshot::Receiver<Reply>, OwnedSemaphorePermit),
+}
+
+/// What clients' connections may hold together.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    /// Connections.
+    pub places: usize,
+    /// Bytes of commands that are longer than a usual one and not read to their end.
+    pub buffers: usize,
+    /// Bytes of messages that have been read and not answered.
+    pub bodies: usize,
+}
+
+/// A connection's place, as others see it.
+struct Place {
+    /// A request of it has been answered. Those that have asked nothing yet give way first.
+    asked: Cell<bool>,
+    /// A request is open.
+    busy: Cell<bool>,
+    /// Since when none is.
+    since: Cell<Instant>,
+    task: OnceCell<AbortHandle>,
+}
+
+/// The places in use.
+struct Places {
+    taken: RefCell<BTreeMap<u64, Rc<Place>>>,
+    left: Notify,
+    buffers: Arc<Semaphore>,
+    bodies: Arc<Semaphore>,
+}
+
+impl Places {
+    /// Waits for a place for a newcomer. When there is none, the connection that has been idle longest gives
+    /// way: many that say nothing must not keep out those that do. False if all are at work.
+    async fn make_room(&self, most: usize) -> bool {
+        while self.taken.borrow().len() >= most {
+            {
+                let taken = self.taken.borrow();
+                let idle = taken.values().filter(|place| !place.busy.get());
+                let longest = idle.min_by_key(|place| (place.asked.get(), place.since.get()));
+                let Some(task) = longest.and_then(|place| place.task.get()) else { return false };
+                task.abort();
+            }
+            self.left.notified().await;
+        }
+        true
+    }
+}
+
+/// Gives a connection's place back.
+struct Seat {
+    places: Rc<Places>,
+    number: u64,
+    place: Rc<Place>,
+}
+
+impl Drop for Seat {
+    fn drop(&mut self) {
+        self.places.taken.borrow_mut().remove(&self.number);
+        self.places.left.notify_one();
+    }
 }
 
 struct Client {
     socket: TcpStream,
     buf: BytesMut,
+    /// When the command that `buf` begins with began.
+    begun: Instant,
+    /// Held while `buf` may grow beyond a usual command.
+    long: Option<OwnedSemaphorePermit>,
     driver: mpsc::Sender<Input>,
     phase: watch::Receiver<Phase>,
+    seat: Seat,
 }
 
 impl Client {
@@ -136,7 +226,10 @@
             let mut broken = false;
             while answers.len() < PIPELINE_MOST && !broken {
                 match command(&mut self.buf) {
-                    Ok(Some(args)) => answers.push(self.start(&args).await),
+                    Ok(Some(args)) => {
+                        self.seat.place.busy.set(true);
+                        answers.push(self.start(&args).await);
+                    }
                     Ok(None) => break,
                     Err(e) => {
                         answers.push(Answer::Now(format!("-ERR {e}\r\n")));
@@ -144,30 +237,86 @@
                     }
                 }
             }
-            let idle = answers.is_empty();
+            if answers.is_empty() {
+                if !self.read().await? {
+                    return Ok(());
+                }
+                continue;
+            }
+            self.begun = Instant::now();
+            let mut text = String::new();
             for answer in answers {
-                let Some(text) = self.wait(answer).await else { return Ok(()) };
-                self.socket.write_all(text.as_bytes()).await?;
+                let Some(answer) = self.wait(answer).await else { return Ok(()) };
+                text.push_str(&answer);
             }
+            let written = self.socket.write_all(text.as_bytes());
+            tokio::time::timeout(WRITE_TIME, written).await.map_err(std::io::Error::other)??;
+            let place = &self.seat.place;
+            place.asked.set(true);
+            place.busy.set(false);
+            place.since.set(Instant::now());
             if broken {
-                return self.socket.shutdown().await;
+                return self.part().await;
+            }
+            // What was kept for a long command is given back.
+            if self.buf.len() < READ_AHEAD && self.long.take().is_some() {
+                self.buf = BytesMut::from(&self.buf[..]);
+            }
+        }
+    }
+
+    /// Reads on; false once the connection is to close.
+    async fn read(&mut self) -> std::io::Result<bool> {
+        // Only between requests: one that has been read in part is waited for.
+        let between = self.buf.is_empty();
+        let until = if between { self.seat.place.since.get() + IDLE_TIME } else { self.begun + COMMAND_TIME };
+        let until = tokio::time::sleep_until(until.into());
+        let buffers = self.seat.places.buffers.clone();
+        let more = async {
+            if self.buf.len() >= USUAL_MOST && self.long.is_none() {
+                self.long = buffers.acquire_many_owned(COMMAND_MOST as u32).await.ok();
             }
-            // Only between requests: one that has been read in part is waited for.
-            let between = self.buf.is_empty();
             self.buf.reserve(READ_AHEAD);
-            tokio::select! {
-                biased;
-                n = self.socket.read_buf(&mut self.buf), if idle => {
-                    if n? == 0 {
-                        return Ok(());
-                    }
+            self.socket.read_buf(&mut self.buf).await
+        };
+        tokio::select! {
+            biased;
+            n = more => {
+                if n? == 0 {
+                    return Ok(false);
                 }
-                _ = self.phase.wait_for(|p| *p == Phase::Closing), if idle && between => {
-                    return self.socket.shutdown().await;
+                if between {
+                    self.begun = Instant::now();
                 }
-                _ = std::future::ready(()), if !idle => {}
+                return Ok(true);
             }
+            _ = self.phase.wait_for(|p| *p == Phase::Closing), if between => {}
+            () = until => {}
         }
+        if !between {
+            _ = self.socket.try_write(b"-ERR the command was not finished in time\r\n");
+        }
+        self.part().await?;
+        Ok(false)
+    }
+
+    /// Ends the connection so that what was written last arrives: closing a socket with unread input resets it,
+    /// which can overtake an answer.
+    async fn part(&mut self) -> std::io::Result<()> {
+        self.socket.shutdown().await?;
+        let drain = async {
+            let mut rest = 0;
+            while rest < DRAIN_MOST {
+                self.buf.clear();
+                self.buf.reserve(READ_AHEAD);
+                match self.socket.read_buf(&mut self.buf).await {
+                    Ok(n @ 1..) => rest += n,
+                    _ => break,
+                }
+            }
+        };
+        _ = tokio::time::timeout(DRAIN_TIME, drain).await;
+        Ok(())
     }
 
     async fn start(&mut self, args: &[Bytes]) -> Answer {
@@ -176,12 +325,15 @@
             b"PING" => Answer::Ready,
             b"MSG.PUT" => match put(args) {
                 Ok(put) => {
+                    let bytes = (put.body.len() + PUT_OVERHEAD) as u32;
+                    let bodies = self.seat.places.bodies.clone();
                     let (reply, answer) = oneshot::channel();
-                    // The driver ends with the process only.
-                    if self.driver.send(Input::Put(put, reply)).await.is_err() {
-                        return Answer::Now("-BUSY\r\n".into());
+                    // The semaphore is never closed, and the driver ends with the process only.
+                    let counted = bodies.acquire_many_owned(bytes).await.ok();
+                    match (counted, self.driver.send(Input::Put(put, reply)).await) {
+                        (Some(counted), Ok(())) => Answer::Later(answer, counted),
+                        _ => Answer::Now("-BUSY\r\n".into()),
                     }
-                    Answer::Later(answer)
                 }
                 Err(e) => Answer::Now(format!("-ERR {e}\r\n")),
             },
@@ -191,17 +343,19 @@
 
     /// The answer's text; nothing once the client has gone. Dropping the driver's channel tells it so.
     async fn wait(&mut self, answer: Answer) -> Option<String> {
-        let mut answer = match answer {
+        let (mut answer, _counted) = match answer {
             Answer::Now(text) => return Some(text),
             Answer::Ready => {
                 self.phase.wait_for(|p| *p != Phase::Starting).await.ok()?;
                 return Some("+PONG\r\n".into());
             }
-            Answer::Later(answer) => answer,
+            Answer::Later(answer, counted) => (answer, counted),
         };
         loop {
-            let room = self.buf.len() < BODY_MOST;
-            self.buf.reserve(READ_AHEAD);
+            let room = self.buf.len() < USUAL_MOST;
+            if room {
+                self.buf.reserve(READ_AHEAD);
+            }
             tokio::select! {
                 biased;
                 reply = &mut answer => return Some(match reply {
@@ -209,6 +363,7 @@
                     Ok(Reply::Busy { after_ms: 0 }) | Err(_) => "-BUSY\r\n".into(),
                     Ok(Reply::Busy { after_ms }) => format!("-BUSY {after_ms}\r\n"),
                     Ok(Reply::Failed) => "-ERR the message failed\r\n".into(),
+                    Ok(Reply::Wrong(why)) => format!("-ERR {why}\r\n"),
                 }),
                 n = self.socket.read_buf(&mut self.buf), if room => {
                     if n.ok()? == 0 {
@@ -223,13 +378,18 @@
 /// Serves clients until the phase is [`Phase::Closing`] and their connections have closed.
 pub async fn serve(
     listener: TcpListener,
-    most: usize,
+    bounds: Bounds,
     driver: mpsc::Sender<Input>,
     phase: watch::Receiver<Phase>,
 ) {
-    let places = Arc::new(Semaphore::new(most));
+    let places = Rc::new(Places {
+        taken: RefCell::default(),
+        left: Notify::new(),
+        buffers: Arc::new(Semaphore::new(bounds.buffers.max(COMMAND_MOST))),
+        bodies: Arc::new(Semaphore::new(bounds.bodies.max(BODY_MOST + PUT_OVERHEAD))),
+    });
     let mut closing = phase.clone();
-    loop {
+    for number in 0.. {
         let accepted = tokio::select! {
             biased;
             a = listener.accept() => a,
@@ -243,18 +403,24 @@
                 continue;
             }
         };
-        let Ok(place) = places.clone().try_acquire_owned() else {
+        if !places.make_room(bounds.places).await {
             _ = socket.try_write(b"-ERR max number of clients reached\r\n");
             _ = socket.shutdown().await;
             continue;
-        };
+        }
         _ = socket.set_nodelay(true);
-        let client = Client { socket, buf: BytesMut::new(), driver: driver.clone(), phase: phase.clone() };
-        tokio::task::spawn_local(async move {
+        let now = Instant::now();
+        let (asked, busy, since) = (Cell::new(false), Cell::new(false), Cell::new(now));
+        let place = Rc::new(Place { asked, busy, since, task: OnceCell::new() });
+        places.taken.borrow_mut().insert(number, place.clone());
+        let seat = Seat { places: places.clone(), number, place: place.clone() };
+        let (buf, driver, phase) = (BytesMut::new(), driver.clone(), phase.clone());
+        let client = Client { socket, buf, begun: now, long: None, driver, phase, seat };
+        let task = tokio::task::spawn_local(async move {
             // A client that breaks off is no fault of the sender's.
             _ = client.serve().await;
-            drop(place);
         });
+        _ = place.task.set(task.abort_handle());
     }
 }
 
--- a/sender/src/discovery.rs
+++ b/sender/src/discovery.rs
@@ -22,8 +22,13 @@
 const RETRY_FIRST: Duration = Duration::from_millis(100);
 const RETRY_MOST: Duration = Duration::from_secs(2);
 const LINE_MOST: usize = 4 << 20;
-/// A gone endpoint keeps its number for this long, in case it is named again.
-const KEEP_GONE: Duration = Duration::from_secs(3600);
+/// A gone endpoint keeps its number for this long, in case it is named again. Where endpoints are ever new, what
+/// is kept of the gone ones is most of what is kept at all.
+const KEEP_GONE: Duration = Duration::from_secs(60);
+/// A destination is known for this long after its last endpoint has gone.
+const KEEP_DEST: Duration = Duration::from_secs(3600);
+/// Destinations that are remembered beside those with an endpoint.
+const DESTS_MOST: usize = 10_000;
 
 /// A list, or changes to it, as discovery tells them.
 #[derive(Clone, Debug, Deserialize)]
@@ -69,6 +74,8 @@
     names: Names,
     numbers: HashMap<String, EndpointId>,
     endpoints: HashMap<EndpointId, Endpoint>,
+    /// The destinations, and when an endpoint of each was last named.
+    dests: HashMap<DestId, Instant>,
     next: u32,
 }
 
@@ -85,6 +92,11 @@
         self.numbers.get(name).copied()
     }
 
+    /// Whether the destination has an endpoint or had one not long ago.
+    pub fn knows(&self, dest: DestId) -> bool {
+        self.dests.contains_key(&dest)
+    }
+
     /// Takes a listing over and puts it into the module's words. What a whole list lacks is named as removed.
     pub fn apply(&mut self, listing: &Listing) -> Vec<EndpointEntry> {
         let now = Instant::now();
@@ -102,6 +114,13 @@
         let kept = |e: &Endpoint| e.gone.is_none_or(|t| now - t < KEEP_GONE);
         self.numbers.retain(|_, id| self.endpoints.get(id).is_some_and(kept));
         self.endpoints.retain(|_, e| kept(e));
+        for e in self.endpoints.values() {
+            self.dests.insert(e.dest, now);
+        }
+        if self.dests.len() > DESTS_MOST {
+            self.dests.retain(|_, named| *named == now);
+        }
+        self.dests.retain(|_, named| now - *named < KEEP_DEST);
         entries
     }
 
--- a/sender/src/driver.rs
+++ b/sender/src/driver.rs
@@ -110,6 +110,8 @@
     kinds: Vec<KindSettings>,
     /// For each class whose repeats are dropped for a while: how long.
     windows: HashMap<String, Micros>,
+    /// For each class: the longest time that a message may have.
+    deadlines: Vec<Micros>,
     quantum: Micros,
     max_open: usize,
     journal: Rc<RefCell<Journal>>,
@@ -137,8 +139,10 @@
         let guarded = settings.classes.iter().zip(&names.classes);
         let guarded = guarded.filter(|(c, _)| c.effect == Effect::Guarded);
         let windows = guarded.map(|(c, name)| (name.clone(), c.window)).collect();
+        let deadlines = settings.classes.iter().map(|c| c.deadline).collect();
         Ok(Driver {
             clock,
+            deadlines,
             windows,
             dispatcher: Dispatcher::new(clock.now(), seed, settings)?,
             names,
@@ -328,10 +332,15 @@
             _ = reply.send(Reply::Busy { after_ms: 0 });
             return;
         }
+        let class = index(&self.names.classes, &put.class);
+        if let Some(why) = self.wrong(class, &put) {
+            _ = reply.send(Reply::Wrong(why));
+            return;
+        }
         let id = MsgId(self.journal.borrow_mut().number());
         self.events.push(Event::Message {
             id,
-            class: index(&self.names.classes, &put.class),
+            class,
             tenant: index(&self.names.tenants, &put.tenant),
             key: Some(put.order_key.clone()),
             dest: DestId(put.dest),
@@ -343,6 +352,24 @@
         self.newcomers.insert(id, Newcomer { put, reply });
     }
 
+    /// Why no sender could take this message on, if so.
+    fn wrong(&self, class: usize, put: &Put) -> Option<&'static str> {
+        let Some(longest) = self.deadlines.get(class) else { return Some("unknown class") };
+        let tenants = &self.names.tenants;
+        if !tenants.is_empty() && !tenants.contains(&put.tenant) {
+            Some("unknown tenant")
+        } else if put.time_left > longest + 1000 {
+            // The time is told in whole milliseconds.
+            Some("field 'd' is more than the class's time")
+        } else if !self.fleet.borrow().knows(DestId(put.dest)) {
+            Some("unknown destination")
+        } else if self.windows.contains_key(&put.class) && put.idempotency_key.is_none() {
+            Some("field 'k' is missing in a keyed class")
+        } else {
+            None
+        }
+    }
+
     fn ended(&mut self, call: u64, ended: Ended) {
         self.out.remove(&call);
         let Ended { endpoint, fates, elapsed, wait, report } = ended;
--- a/sender/src/main.rs
+++ b/sender/src/main.rs
@@ -26,6 +26,10 @@
 const LAST_WRITES: Duration = Duration::from_millis(20);
 /// Inputs that wait for the driver; whoever has more waits in turn.
 const INPUTS_MOST: usize = 1024;
+/// Descriptors for all but clients and endpoints: the standard streams, the event queue and its signals, the
+/// listener and a client that is being turned away, the journal and its successor, the configuration,
+/// discovery's list and its next, and the notices' connection. These are 16; as many again are kept free.
+const OWN_FILES: usize = 32;
 
 #[derive(Deserialize)]
 struct Config {
@@ -42,13 +46,30 @@
 #[derive(Deserialize)]
 #[serde(default)]
 struct Limits {
+    memory_mb: f64,
     sockets: usize,
     disk_mb: f64,
 }
 
 impl Default for Limits {
     fn default() -> Self {
-        Limits { sockets: 1024, disk_mb: 3.0 }
+        Limits { memory_mb: 128.0, sockets: 1024, disk_mb: 3.0 }
+    }
+}
+
+impl Limits {
+    /// A third of the descriptors for connections. An eighth of the memory each for commands that are being
+    /// read and for messages that are not answered yet: the rest is for what the journal holds, which is bounded
+    /// by the disk, for a copy of it while it is compacted, and for calls, which are bounded by their slots.
+    fn clients(&self) -> clients::Bounds {
+        let eighth = (self.memory_mb * 1e6 / 8.0) as usize;
+        clients::Bounds { places: (self.sockets / 3).max(1), buffers: eighth, bodies: eighth }
+    }
+
+    /// Idle connections to endpoints: what clients, calls, probes and the sender's own files leave.
+    fn idle(&self, slots: usize) -> usize {
+        let others = self.clients().places + slots + calls::PROBES_MOST + OWN_FILES;
+        self.sockets.saturating_sub(others)
     }
 }
 
@@ -91,13 +112,11 @@
     let connect_timeout = config.settings.connect_timeout().unwrap_or(CONNECT_TIMEOUT).max(1);
     let settings = config.settings.settings();
     let fleet = Rc::new(RefCell::new(discovery::Fleet::new(names.clone())));
-    // A quarter of the descriptors for clients and one for idle connections to endpoints; calls take `slots`.
-    let quarter = (config.limits.sockets / 4).max(1);
     let calls = calls::Calls::new(
         fleet.clone(),
         Duration::from_micros(settings.idle_close.max(0) as u64),
         Duration::from_micros(connect_timeout as u64),
-        quarter,
+        config.limits.idle(settings.slots as usize),
     );
     let (inputs, inbox) = mpsc::channel(INPUTS_MOST);
     let (notices, queue) = mpsc::unbounded_channel();
@@ -118,7 +137,7 @@
         inputs: inputs.clone(),
         phase,
     })?;
-    tokio::task::spawn_local(clients::serve(listener, quarter, inputs.clone(), follow_phase));
+    tokio::task::spawn_local(clients::serve(listener, config.limits.clients(), inputs.clone(), follow_phase));
     tokio::task::spawn_local(discovery::follow(follow_discovery.clone(), index, fleet, inputs.clone()));
     tokio::task::spawn_local(notices::send(follow_discovery, queue, inputs.clone()));
     tokio::task::spawn_local(reload(path, hang_up, discovery));
--- a/sender/tests/common/mod.rs
+++ b/sender/tests/common/mod.rs
@@ -165,6 +165,11 @@
     }
 }
 
+/// An endpoint that makes a destination known and takes nothing.
+pub fn placeholder(group: i64) -> Value {
+    line(&format!("away-{group}"), "127.0.0.1:9".parse().unwrap(), "one", group, "Terminating")
+}
+
 /// A line of discovery.
 pub fn line(name: &str, addr: SocketAddr, kind: &str, group: i64, status: &str) -> Value {
     json!({"name": name, "address": addr.to_string(), "zone": "a", "type": kind, "group": group,
@@ -393,6 +398,14 @@
         self.state().join("journal")
     }
 
+    /// Memory in use, without what is only mapped.
+    pub fn memory_kb(&self) -> usize {
+        let path = format!("/proc/{}/status", self.child.as_ref().unwrap().id());
+        let text = std::fs::read_to_string(path).unwrap();
+        let line = text.lines().find(|l| l.starts_with("VmRSS:")).unwrap();
+        line.split_whitespace().nth(1).unwrap().parse().unwrap()
+    }
+
     fn journal_count(&self, text: &str) -> usize {
         let bytes = std::fs::read(self.journal()).unwrap_or_default();
         bytes.windows(text.len()).filter(|w| *w == text.as_bytes()).count()
--- a/sender/tests/outcomes.rs
+++ b/sender/tests/outcomes.rs
@@ -12,7 +12,7 @@
 
 fn one(script: impl Fn(&Request) -> Act + Send + Sync + 'static) -> (Endpoint, Platform, Sender) {
     let endpoint = Endpoint::new(script);
-    let platform = Platform::new(vec![line("s-1", endpoint.addr, "one", 3, "Ready")]);
+    let platform = Platform::new(vec![line("s-1", endpoint.addr, "one", 3, "Ready"), placeholder(9)]);
     let sender = Sender::start(&platform);
     sender.client().ping();
     (endpoint, platform, sender)
