Spoilt answers: the first line decides for a single message, an answer that has begun must end, health is untouched

Seen in tests with a stub, each before its mend: a head that hyper rejects made a delivered message "failed"; a stalled body or a head without end held its slot until the call's time-out (8 to 20 s); a 101 ahead was taken for the answer; a 503 whose body never came counted as never run; five spoilt answers benched a healthy endpoint. Ruled out: a second copy right behind an answer is no one else's answer (hyper retires the connection; the test for it passed before). An unreadable load report leaves the answer standing, as before. Lines to blame: calls::attempt, which knew an answer only by what hyper parsed, and Dispatcher::judge, for which a spoilt answer was a Reset.

The socket's wrapper notes the first line, keeps 1xx answers to itself and tells when an answer began: the rest has 0.4 s. What is not whole proves nothing but for that line; a wait told in it binds. The module gets an outcome of its own, Spoilt: may have run, endpoint alive. A connection rests 2 ms before its next call. An answer's head is 16 KiB at most.

--- a/sender/src/calls.rs
+++ b/sender/src/calls.rs
@@ -3,7 +3,7 @@
 use crate::discovery::Fleet;
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD as BASE64;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use heronroute::{DestId, EndpointId, Micros, MsgId, Outcome, Report};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -26,22 +26,96 @@
 use tokio::sync::{Semaphore, oneshot};
 
 const ANSWER_MOST: usize = 64 * 1024;
+/// An answer's head is shorter than this.
+const HEAD_MOST: usize = 16 * 1024;
+/// An answer that has begun must have come to its end by then: one that is spoilt may never, and its call would
+/// hold a slot for all of its time.
+const REST_TIME: Duration = Duration::from_millis(400);
+/// A connection is used again only after this, so that bytes which follow an answer show up before the next
+/// request: they would be read as its answer.
+const SETTLE_TIME: Duration = Duration::from_millis(2);
 /// Probes that are out at once: each takes a descriptor beside those of the calls.
 pub const PROBES_MOST: usize = 8;
 
-/// How much of what was to be written has been handed to the socket.
+/// What has passed on a socket, as far as the outcome of a call depends on it and hyper does not tell.
 #[derive(Debug, Default)]
-struct Written {
-    bytes: Cell<u64>,
+struct Traffic {
+    written: Cell<u64>,
     /// The bytes that had been written when all that was to be written had been.
     flushed: Cell<u64>,
+    /// A request is out whose answer has not begun.
+    awaited: Cell<bool>,
+    /// When an answer began, or a line before it that is not over.
+    began: Cell<Option<Instant>>,
+    /// The status in the answer's first line.
+    status: Cell<Option<u16>>,
+    /// The other side has ended the connection.
+    ended: Cell<bool>,
 }
 
-/// A socket that tells when a request's last byte has been written: hyper flushes it only once its own buffer
-/// is empty, and a request's head and body enter that buffer together.
+impl Traffic {
+    fn expect(&self) {
+        self.awaited.set(true);
+        self.began.set(None);
+        self.status.set(None);
+    }
+
+    /// Waits until an answer that has begun is long overdue. To be polled beside what reads it.
+    async fn overdue(&self) {
+        loop {
+            let began = std::future::poll_fn(|_| self.began.get().map_or(Poll::Pending, Poll::Ready)).await;
+            tokio::time::sleep_until((began + REST_TIME).into()).await;
+            if self.began.get() == Some(began) {
+                return;
+            }
+        }
+    }
+}
+
+/// A socket that tells when a request's last byte has been written (hyper flushes it only once its own buffer is
+/// empty, and a request's head and body enter that buffer together) and what an answer's first line says, which
+/// decides even where the rest can't be read. It keeps 1xx answers to itself: hyper would take a 101 for the end
+/// of HTTP on the connection.
 struct Socket<S = TcpStream> {
     stream: S,
-    written: Rc<Written>,
+    traffic: Rc<Traffic>,
+    /// Read and not handed on: the first line so far, or all up to a 1xx answer's end.
+    held: BytesMut,
+}
+
+/// The status that a first line tells.
+fn status_of(line: &[u8]) -> Option<u16> {
+    let rest = line.strip_prefix(b"HTTP/1.").and_then(|r| r.strip_prefix(b"1").or(r.strip_prefix(b"0")))?;
+    let (code, rest) = rest.strip_prefix(b" ")?.split_at_checked(3)?;
+    let ends = rest.first().is_some_and(|b| b" \r\n".contains(b));
+    std::str::from_utf8(code).ok().filter(|c| ends && c.bytes().all(|b| b.is_ascii_digit()))?.parse().ok()
+}
+
+impl<S> Socket<S> {
+    fn new(stream: S, traffic: Rc<Traffic>) -> Self {
+        Socket { stream, traffic, held: BytesMut::new() }
+    }
+
+    /// Looks at what is held: drops 1xx answers that are whole, and lets go of it once the answer's first line is
+    /// known or can't be one.
+    fn look(&mut self) {
+        let t = &self.traffic;
+        while let Some(end) = self.held.iter().position(|b| *b == b'\n') {
+            let status = status_of(&self.held[..=end]);
+            if !status.is_some_and(|s| (100..200).contains(&s)) {
+                t.status.set(status);
+                t.awaited.set(false);
+                break;
+            }
+            let Some(blank) = self.held.windows(4).position(|w| w == b"\r\n\r\n") else { break };
+            _ = self.held.split_to(blank + 4);
+        }
+        if self.held.len() > HEAD_MOST {
+            t.awaited.set(false);
+        }
+        let began = (!self.held.is_empty()).then(|| t.began.get().unwrap_or_else(Instant::now));
+        t.began.set(began);
+    }
 }
 
 impl<S: AsyncRead + Unpin> AsyncRead for Socket<S> {
@@ -50,19 +124,41 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+        let this = &mut *self;
+        while this.traffic.awaited.get() {
+            let mut piece = [0; 1024];
+            let mut piece = ReadBuf::new(&mut piece);
+            std::task::ready!(Pin::new(&mut this.stream).poll_read(cx, &mut piece))?;
+            if piece.filled().is_empty() {
+                this.traffic.ended.set(true);
+                break;
+            }
+            this.held.extend_from_slice(piece.filled());
+            this.look();
+        }
+        if !this.held.is_empty() {
+            let n = this.held.len().min(buf.remaining());
+            buf.put_slice(&this.held.split_to(n));
+            return Poll::Ready(Ok(()));
+        }
+        let before = buf.filled().len();
+        let read = std::task::ready!(Pin::new(&mut this.stream).poll_read(cx, buf));
+        if read.is_err() || buf.filled().len() == before {
+            this.traffic.ended.set(true);
+        }
+        Poll::Ready(read)
     }
 }
 
 impl<S: AsyncWrite + Unpin> AsyncWrite for Socket<S> {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         let n = std::task::ready!(Pin::new(&mut self.stream).poll_write(cx, buf))?;
-        self.written.bytes.set(self.written.bytes.get() + n as u64);
+        self.traffic.written.set(self.traffic.written.get() + n as u64);
         Poll::Ready(Ok(n))
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.written.flushed.set(self.written.bytes.get());
+        self.traffic.flushed.set(self.traffic.written.get());
         Pin::new(&mut self.stream).poll_flush(cx)
     }
 
@@ -78,7 +174,7 @@
 pub struct Connection {
     requests: http1::SendRequest<Full<Bytes>>,
     driver: Option<Driver>,
-    written: Rc<Written>,
+    traffic: Rc<Traffic>,
     addr: SocketAddr,
     since: Instant,
 }
@@ -87,10 +183,11 @@
     pub async fn open(addr: SocketAddr) -> io::Result<Self> {
         let stream = TcpStream::connect(addr).await?;
         stream.set_nodelay(true)?;
-        let written = Rc::new(Written::default());
-        let socket = Socket { stream, written: written.clone() };
-        let (requests, driver) = http1::handshake(TokioIo::new(socket)).await.map_err(io::Error::other)?;
-        Ok(Connection { requests, driver: Some(driver), written, addr, since: Instant::now() })
+        let traffic = Rc::new(Traffic::default());
+        let socket = TokioIo::new(Socket::new(stream, traffic.clone()));
+        let handshake = http1::Builder::new().max_buf_size(HEAD_MOST).handshake(socket);
+        let (requests, driver) = handshake.await.map_err(io::Error::other)?;
+        Ok(Connection { requests, driver: Some(driver), traffic, addr, since: Instant::now() })
     }
 
     pub fn addr(&self) -> SocketAddr {
@@ -112,6 +209,7 @@
     }
 
     pub async fn send(&mut self, request: Request<Full<Bytes>>) -> hyper::Result<Response<Incoming>> {
+        self.traffic.expect();
         let answer = self.requests.send_request(request);
         let mut driver = self.driver.take();
         let mut answer = pin!(answer);
@@ -209,6 +307,33 @@
     }
 }
 
+/// What is known of a call that is out.
+#[derive(Default)]
+struct Seen {
+    /// Its connection's traffic, and what had been written there before.
+    traffic: RefCell<Option<(Rc<Traffic>, u64)>>,
+    head: RefCell<Option<Answer>>,
+}
+
+impl Seen {
+    /// The request's last byte has been written.
+    fn sent(&self) -> bool {
+        self.traffic.borrow().as_ref().is_some_and(|(t, before)| t.flushed.get() > *before)
+    }
+
+    /// The answer where it has not come to its end. A single message is delivered by a first line that says so,
+    /// whatever becomes of the rest. Any other answer that is not whole proves nothing, but a wait told in it
+    /// binds.
+    fn cut(&self, order: &Order, outcome: Outcome) -> Answer {
+        let head = self.head.take().unwrap_or_else(|| Answer::of(outcome));
+        let status = self.traffic.borrow().as_ref().and_then(|(t, _)| t.status.get());
+        if status == Some(200) && !order.batch {
+            return Answer { report: head.report, wait: head.wait, ..Answer::of(Outcome::Done) };
+        }
+        Answer { report: None, wait: head.wait, ..Answer::of(outcome) }
+    }
+}
+
 #[derive(Serialize)]
 struct BatchItem<'a> {
     id: &'a str,
@@ -282,8 +407,13 @@
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&endpoint)?;
         // An endpoint may be listed again under another address.
-        let fit = |c: &Connection| c.addr == addr && c.since.elapsed() < self.retire_after;
-        std::iter::from_fn(|| connections.pop()).filter(fit).find_map(Connection::if_usable)
+        connections.retain(|c| c.addr == addr && c.since.elapsed() < self.retire_after);
+        while let Some(at) = connections.iter().rposition(|c| c.since.elapsed() >= SETTLE_TIME) {
+            if let Some(connection) = connections.remove(at).if_usable() {
+                return Some(connection);
+            }
+        }
+        None
     }
 
     fn keep(&self, endpoint: EndpointId, connection: Connection) {
@@ -310,14 +440,14 @@
         cancelled: oneshot::Receiver<()>,
     ) -> Ended {
         let start = Instant::now();
-        let (sent, heard) = (Cell::new(false), RefCell::new(None));
+        let seen = Seen::default();
         let answer = tokio::select! {
             biased;
-            answer = self.attempt(order, start, begin, &sent, &heard) => answer,
-            _ = tokio::time::sleep(order.timeout) => heard.take().unwrap_or_else(|| {
-                Answer::of(if sent.get() { Outcome::TimedOut } else { Outcome::ConnectFailed })
-            }),
-            Ok(()) = cancelled => heard.take().unwrap_or_else(|| Answer::of(Outcome::Cancelled)),
+            answer = self.attempt(order, start, begin, &seen) => answer,
+            _ = tokio::time::sleep(order.timeout) => {
+                seen.cut(order, if seen.sent() { Outcome::TimedOut } else { Outcome::ConnectFailed })
+            }
+            Ok(()) = cancelled => seen.cut(order, Outcome::Cancelled),
         };
         let fates = order.items.iter().map(|item| {
             let (outcome, over) = match &answer.states {
@@ -336,8 +466,7 @@
         order: &Order,
         start: Instant,
         begin: impl FnOnce() -> bool,
-        sent: &Cell<bool>,
-        heard: &RefCell<Option<Answer>>,
+        seen: &Seen,
     ) -> Answer {
         let endpoint = order.endpoint;
         let mut connection = match self.take(endpoint, order.addr) {
@@ -358,42 +487,47 @@
             self.keep(endpoint, connection);
             return Answer::of(Outcome::Skipped);
         }
-        let before = connection.written.bytes.get();
-        let written = connection.written.clone();
-        let response = {
-            let mut answer = pin!(connection.send(request));
-            std::future::poll_fn(|cx| {
-                let r = answer.as_mut().poll(cx);
-                sent.set(written.flushed.get() > before);
-                r
-            })
-            .await
-        };
-        let Ok(response) = response else {
-            return Answer::of(if sent.get() { Outcome::Reset } else { Outcome::ConnectFailed });
+        let traffic = connection.traffic.clone();
+        seen.traffic.replace(Some((traffic.clone(), traffic.written.get())));
+        let whole = tokio::select! {
+            biased;
+            whole = self.exchange(&mut connection, order, request, seen) => whole,
+            () = traffic.overdue() => None,
         };
-        let mut answer = read_head(response.status().as_u16(), response.headers());
-        self.learn_wait(order.lane, answer.wait);
-        // The first line decides, whatever becomes of the rest; but several messages need the whole answer.
-        if !(order.batch && answer.outcome == Outcome::Done) {
-            heard.replace(Some(answer.clone()));
-        }
-        let body = connection.drive(Limited::new(response.into_body(), ANSWER_MOST).collect()).await;
-        match body {
-            Ok(body) => {
-                if answer.outcome == Outcome::Done && order.batch {
-                    let states: Result<Vec<BatchState>, _> = serde_json::from_slice(&body.to_bytes());
-                    // An answer that tells nothing of a message leaves it open whether it ran.
-                    let states = states.unwrap_or_default();
-                    answer.states = Some(states.into_iter().map(|s| (s.id, s.state)).collect());
-                }
+        match whole {
+            Some(answer) => {
                 self.keep(endpoint, connection);
+                answer
             }
-            // Several messages are delivered by the whole answer, a single one by its first line.
-            Err(_) if order.batch && answer.outcome == Outcome::Done => return Answer::of(Outcome::Reset),
-            Err(_) => {}
+            None if !seen.sent() => Answer::of(Outcome::ConnectFailed),
+            // A connection that ends speaks of the endpoint, an answer that can't be read on one that stays
+            // open of itself alone.
+            None if traffic.ended.get() || traffic.began.get().is_none() => seen.cut(order, Outcome::Reset),
+            None => seen.cut(order, Outcome::Spoilt),
+        }
+    }
+
+    /// Sends a request and reads its answer to the end; nothing if there is none that can be read.
+    async fn exchange(
+        &self,
+        connection: &mut Connection,
+        order: &Order,
+        request: Request<Full<Bytes>>,
+        seen: &Seen,
+    ) -> Option<Answer> {
+        let response = connection.send(request).await.ok()?;
+        let mut answer = read_head(response.status().as_u16(), response.headers());
+        self.learn_wait(order.lane, answer.wait);
+        seen.head.replace(Some(answer.clone()));
+        let body = connection.drive(Limited::new(response.into_body(), ANSWER_MOST).collect()).await.ok()?;
+        if answer.outcome == Outcome::Done && order.batch {
+            // An answer that tells nothing of a message leaves it open whether it ran.
+            let Ok(states) = serde_json::from_slice::<Vec<BatchState>>(&body.to_bytes()) else {
+                return Some(Answer { outcome: Outcome::Spoilt, over: false, ..answer });
+            };
+            answer.states = Some(states.into_iter().map(|s| (s.id, s.state)).collect());
         }
-        answer
+        Some(answer)
     }
 
     /// Asks whether an endpoint is well.
@@ -485,10 +619,10 @@
     use tokio::io::{AsyncReadExt, DuplexStream};
 
     /// Sends a request with a long body through a pipe of 64 bytes of which `read` reads; what was written.
-    async fn written(read: impl AsyncFnOnce(&mut DuplexStream)) -> Rc<Written> {
+    async fn written(read: impl AsyncFnOnce(&mut DuplexStream)) -> Rc<Traffic> {
         let (near, mut far) = tokio::io::duplex(64);
-        let written = Rc::new(Written::default());
-        let socket = Socket { stream: near, written: written.clone() };
+        let traffic = Rc::new(Traffic::default());
+        let socket = Socket::new(near, traffic.clone());
         let (mut requests, driver) = http1::handshake(TokioIo::new(socket)).await.unwrap();
         let request = Request::post("/v1/messages").body(Full::new(Bytes::from(vec![7; 10_000]))).unwrap();
         let reading = async {
@@ -497,13 +631,13 @@
         };
         let (answer, _, ()) = tokio::join!(requests.send_request(request), driver, reading);
         assert!(answer.is_err());
-        written
+        traffic
     }
 
     #[tokio::test]
     async fn a_call_counts_as_written_only_with_its_last_byte() {
         let cut = written(async |far| _ = far.read_exact(&mut [0; 5_000]).await.unwrap()).await;
-        assert!(cut.bytes.get() >= 5_000);
+        assert!(cut.written.get() >= 5_000);
         assert_eq!(cut.flushed.get(), 0);
         let whole = written(async |far| {
             let mut seen = Vec::new();
@@ -515,6 +649,6 @@
         });
         let whole = whole.await;
         assert!(whole.flushed.get() > 10_000);
-        assert_eq!(whole.flushed.get(), whole.bytes.get());
+        assert_eq!(whole.flushed.get(), whole.written.get());
     }
 }
--- a/sender/tests/common/mod.rs
+++ b/sender/tests/common/mod.rs
@@ -75,6 +75,8 @@
 pub enum Act {
     /// Answers with a status, header lines and a body.
     Answer(u16, Vec<(&'static str, String)>, String),
+    /// Writes these bytes and keeps the connection.
+    Raw(String),
     /// Says nothing and keeps the connection.
     Silence,
     /// Closes the connection without an answer.
@@ -126,6 +128,11 @@
                                     break;
                                 }
                             }
+                            Act::Raw(text) => {
+                                if stream.write_all(text.as_bytes()).is_err() {
+                                    break;
+                                }
+                            }
                             Act::Silence => {}
                             Act::Break => break,
                         }
@@ -182,6 +189,7 @@
     whole: Vec<Value>,
     paths: Vec<String>,
     index: u64,
+    whole_at: u64,
 }
 
 /// Discovery and the platform's ear for notices.
@@ -196,8 +204,14 @@
     pub fn new(endpoints: Vec<Value>) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let addr = listener.local_addr().unwrap();
-        let watchers =
-            Watchers { streams: Vec::new(), log: Vec::new(), whole: endpoints, paths: Vec::new(), index: 7 };
+        let watchers = Watchers {
+            streams: Vec::new(),
+            log: Vec::new(),
+            whole: endpoints,
+            paths: Vec::new(),
+            index: 7,
+            whole_at: 0,
+        };
         let platform = Platform {
             addr,
             watchers: Arc::new(Mutex::new(watchers)),
@@ -243,7 +257,7 @@
                         let missed: Vec<Value> = w
                             .log
                             .iter()
-                            .filter(|(i, _)| since.is_some_and(|s: u64| *i > s))
+                            .filter(|(i, _)| since.is_some_and(|s| *i > s))
                             .map(|(_, l)| l.clone())
                             .collect();
                         let first = if since.is_some_and(|s| s > 0) {
@@ -267,6 +281,7 @@
         let index = w.index;
         if snapshot {
             w.whole = endpoints.clone();
+            w.whole_at = index;
         }
         w.log.extend(endpoints.iter().map(|l| (index, l.clone())));
         let news = json!({"index": index, "snapshot": snapshot, "endpoints": endpoints});
--- a/sender/tests/outcomes.rs
+++ b/sender/tests/outcomes.rs
@@ -225,3 +225,95 @@
     let batch = requests.iter().position(Request::is_batch).unwrap();
     assert!(requests[batch + 1].at - requests[batch].at >= Duration::from_millis(600));
 }
+
+/// Far less than a call's whole time, far more than what an answer that has begun is given.
+const SOON: Duration = Duration::from_secs(6);
+
+fn raw(text: &str) -> Act {
+    Act::Raw(text.to_string())
+}
+
+#[test]
+fn a_first_line_that_says_200_delivers_a_single_message_whatever_follows() {
+    for rest in [
+        "no colon\x01\r\n\r\n",
+        "content-length: -5\r\n\r\n",
+        "content-length: 5\r\ncontent-length: 7\r\n\r\nhello",
+        "content-length: 3000000000\r\n\r\nx",
+        "transfer-encoding: chunked\r\n\r\nzz\r\n",
+        "x-server-load: x0=?,x1=\r\ncontent-length: 0\r\n\r\n",
+        "a head that does not end",
+    ] {
+        let (endpoint, platform, sender) = first(raw(&format!("HTTP/1.1 200 OK\r\n{rest}")));
+        let mut client = sender.client();
+        assert_eq!(client.put("a1", PAY), "+OK");
+        endpoint.wait_sent("a1");
+        // One more for the same destination, at which only so many go at once, and the first one's end.
+        assert_eq!(client.put("a2", PAY), "+OK");
+        endpoint.wait_sent("a2");
+        std::thread::sleep(Duration::from_millis(500));
+        assert_eq!(client.put("a3", PAY), "+OK");
+        endpoint.wait_sent("a3");
+        assert_eq!((endpoint.times("a1"), platform.state_of("a1")), (1, None), "{rest:?}");
+    }
+}
+
+#[test]
+fn a_spoilt_answer_may_have_run_and_its_slot_is_free_soon() {
+    for text in [
+        "\x00\x01noise\r\n\r\n",
+        "HTTP/1.1 2",
+        "HTTP/1.1 503 X\r\ncontent-length: 50\r\n\r\nshort",
+        "HTTP/1.1 500 X\r\nthis head does not end\r\n",
+        "HTTP/1.1 2000 OK\r\ncontent-length: 0\r\n\r\n",
+    ] {
+        let (endpoint, platform, sender) = first(raw(text));
+        let (mut client, start) = (sender.client(), Instant::now());
+        assert_eq!(client.put("a1", PAY), "+OK");
+        platform.wait_state("a1", "failed");
+        assert_eq!(client.put("a2", SYNC), "+OK");
+        endpoint.wait_sent("a2");
+        assert!(start.elapsed() < SOON, "{text:?}: {:?}", start.elapsed());
+        assert_eq!(endpoint.times("a1"), 1);
+    }
+}
+
+#[test]
+fn a_delivered_messages_slot_is_free_soon_although_its_body_stalls() {
+    let endpoint = Endpoint::new(|_| raw("HTTP/1.1 200 OK\r\ncontent-length: 3000000000\r\n\r\nx"));
+    let platform = Platform::new(vec![line("s-1", endpoint.addr, "one", 3, "Ready")]);
+    let sender = Sender::with(&platform, |c| c["settings"]["FamilyInfo"]["Workers"] = 1.into());
+    let (mut client, start) = (sender.client(), Instant::now());
+    for id in ["a1", "a2", "a3"] {
+        assert_eq!(client.put(id, PAY), "+OK");
+    }
+    endpoint.wait_sent("a3");
+    assert!(start.elapsed() < SOON, "{:?}", start.elapsed());
+    assert!(platform.notices().is_empty());
+}
+
+#[test]
+fn answers_ahead_are_passed_over_and_bytes_behind_belong_to_no_call() {
+    let ahead = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 101 Switching Protocols\r\nupgrade: x\r\n\r\n";
+    let turned_away = "HTTP/1.1 503 X\r\ncontent-length: 0\r\n\r\n";
+    let (endpoint, platform, sender) = first(raw(&format!("{ahead}{turned_away}")));
+    assert_eq!(sender.client().put("a1", PAY), "+OK");
+    wait_until("the second call", || endpoint.times("a1") == 2);
+    assert!(platform.notices().is_empty());
+
+    // A second copy that delivers nothing: the next message is answered 500 and fails.
+    let seen = std::sync::atomic::AtomicBool::new(false);
+    let ok = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+    let (endpoint, platform, sender) = one(move |_| {
+        let first = !seen.swap(true, std::sync::atomic::Ordering::SeqCst);
+        if first { raw(&format!("{ok}{ok}")) } else { status(500) }
+    });
+    let mut client = sender.client();
+    assert_eq!(client.put("a1", PAY), "+OK");
+    endpoint.wait_sent("a1");
+    std::thread::sleep(Duration::from_millis(100));
+    assert_eq!(client.put("a2", PAY), "+OK");
+    platform.wait_state("a2", "failed");
+    let connections: Vec<usize> = endpoint.requests().iter().map(|r| r.connection).collect();
+    assert_eq!(connections, [0, 1]);
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -299,6 +299,8 @@
     ConnectFailed,
     /// The connection broke; it may have run.
     Reset,
+    /// The destination answered with what can't be read; it may have run. Only real senders are told so.
+    Spoilt,
     /// Called off; it may have run.
     Cancelled,
     /// Never sent: no slot was free, the message was over, or its attempts were used up.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -391,8 +391,11 @@
             self.scarce.insert(e.kind, now);
         }
         match outcome {
-            Outcome::Done => {
-                lane.latency.learn(took);
+            // A spoilt answer comes from the healthy too: it proves the endpoint alive and that the call was taken.
+            Outcome::Done | Outcome::Spoilt => {
+                if outcome == Outcome::Done {
+                    lane.latency.learn(took);
+                }
                 lane.accepted.add(now);
                 lane.budget *= 1.0 + DONE_GROWTH;
                 let first = e.first_bad.filter(|f| sent >= *f || now - f < COLD_AFTER);
--- a/tests/design.rs
+++ b/tests/design.rs
@@ -183,6 +183,21 @@
     assert_eq!(trial.len(), 1, "trials are single");
 }
 
+#[test]
+fn spoilt_answers_prove_an_endpoint_alive() {
+    // They come from the healthy too: five in a row must not bench the endpoint, as failures would.
+    let mut w = World::new(settings(), vec![entry(1, 1, 0)]);
+    w.healthy(1000, 30, FREE, 1, 100 * MS);
+    for i in 0..5 {
+        let sent = fill(&mut w, i, 1, UNSAFE, 1);
+        assert_eq!(sent.len(), 1, "call {i} goes at once");
+        w.now += 100 * MS;
+        w.finish(&sent[0], Outcome::Spoilt);
+        assert_eq!(w.failed.len(), i as usize + 1, "it may have run");
+    }
+    assert!(w.probes.is_empty());
+}
+
 #[test]
 fn after_any_trouble_the_ordinary_path_comes_back() {
     for outcome in [Outcome::Error, Outcome::Busy, Outcome::ConnectFailed, Outcome::Reset, Outcome::TimedOut]
