--- a/src/logic.rs
+++ b/src/logic.rs
@@ -649,8 +649,8 @@
 
     /// Guards against silent calls filling the slots (a hung destination's unsafe calls hold theirs until the
     /// deadline): short of slots, with others waiting, the call that has been silent longest for its lane is
-    /// given up, sooner where that loses no message. Covers any cause of silence; harms an unsafe message whose
-    /// answer was merely late.
+    /// given up, sooner where that loses no message. Covers any cause of silence; harms an unsafe message
+    /// whose answer was merely late.
     fn reclaim(&mut self, out: &mut Vec<Action>) {
         let reserve = (self.set.slots as f64 * RECLAIM_RESERVE).ceil() as u32;
         let held = |d: &DestId| self.dests.get(d).is_some_and(|d| !d.hold.is_empty());
