Tests: a sender's port is set aside without listening on it

a_call_carries failed once in some 50 runs of its file: PING got no PONG, though no sender had panicked. Not seen again in 150 runs of the test alone nor in 30 of the file, five at a time. Ruled out: connecting to oneself (the source is 127.0.0.1, the port is on another address). What fits, by a probe: the listener that set the port aside can live on in a child that another test is just starting, where it takes the connection and makes the sender's bind fail. A socket that is bound only refuses connections and lets the sender listen (same probe).

--- a/sender/tests/common/mod.rs
+++ b/sender/tests/common/mod.rs
@@ -371,7 +371,12 @@
         static SENDERS: AtomicU8 = AtomicU8::new(1);
         let [.., high, low] = std::process::id().to_be_bytes();
         let own = Ipv4Addr::new(127, high | 0x80, low, SENDERS.fetch_add(1, Ordering::Relaxed));
-        let addr = TcpListener::bind((own, 0)).unwrap().local_addr().unwrap();
+        // Bound but not listening: a child that another test is starting may hold a copy of it for a moment,
+        // which would take connections in the sender's place and keep it from listening.
+        let port = tokio::net::TcpSocket::new_v4().unwrap();
+        port.set_reuseaddr(true).unwrap();
+        port.bind((own, 0).into()).unwrap();
+        let addr = port.local_addr().unwrap();
         let folder = tempfile::tempdir().unwrap();
         std::fs::create_dir(folder.path().join("state")).unwrap();
         let mut config = json!({
