A call lasts no longer than any of its messages

Now the module gives each call a number and no time beyond its shortest, and messages with less time left than p99 go with their like; the driver no longer merges two calls of a round. Tests in design.rs and outcomes.rs failed before.

--- a/sender/src/driver.rs
+++ b/sender/src/driver.rs
@@ -469,15 +469,11 @@
     }
 
     fn carry_out(&mut self, actions: Vec<Action>) {
-        let mut sends: Vec<(EndpointId, Vec<(MsgId, Micros)>)> = Vec::new();
+        let mut sends: BTreeMap<u64, (EndpointId, Vec<(MsgId, Micros)>)> = BTreeMap::new();
         for action in actions {
             match action {
-                Action::Send { id, endpoint, timeout } => {
-                    let most = self.batch_most(endpoint);
-                    match sends.iter_mut().find(|(e, items)| *e == endpoint && items.len() < most) {
-                        Some((_, items)) => items.push((id, timeout)),
-                        None => sends.push((endpoint, vec![(id, timeout)])),
-                    }
+                Action::Send { call, id, endpoint, timeout } => {
+                    sends.entry(call).or_insert((endpoint, Vec::new())).1.push((id, timeout));
                 }
                 Action::Cancel { id, .. } => {
                     let call = self.live.get(&id).and_then(|l| l.call);
@@ -496,16 +492,11 @@
                 Action::Tell { .. } => {}
             }
         }
-        for (endpoint, items) in sends {
+        for (endpoint, items) in sends.into_values() {
             self.send(endpoint, items);
         }
     }
 
-    fn batch_most(&self, endpoint: EndpointId) -> usize {
-        let kind = self.fleet.borrow().get(endpoint).map(|e| e.kind);
-        kind.and_then(|k| self.kinds.get(k)).map_or(1, |k| k.batch.max(1) as usize)
-    }
-
     /// The message is over but for the notice. A newcomer's client has heard it already.
     fn end(&mut self, id: MsgId, end: End) {
         if self.live.remove(&id).is_none() {
--- a/sender/tests/outcomes.rs
+++ b/sender/tests/outcomes.rs
@@ -226,6 +226,21 @@
     assert!(requests[batch + 1].at - requests[batch].at >= Duration::from_millis(600));
 }
 
+#[test]
+fn a_call_is_given_up_when_the_first_of_its_messages_runs_out_of_time() {
+    let (endpoint, platform, sender) = batching(|r| if r.is_batch() { Act::Silence } else { status(200) });
+    let start = Instant::now();
+    hand_in_together(&endpoint, &sender, &[("b1", "c=pay,d=4500,dest=3"), ("b2", PAY), ("b3", PAY)]);
+    platform.wait_state("b1", "failed");
+    // The others may have run too, and are not waited for in a call that is over.
+    platform.wait_state("b2", "failed");
+    assert!(start.elapsed() < Duration::from_secs(10), "{:?}", start.elapsed());
+    let call = endpoint.requests().into_iter().find(Request::is_batch).unwrap();
+    assert!(call.ids().contains(&"b1".to_string()) && call.ids().contains(&"b2".to_string()));
+    let timeout = call.header("x-timeout").unwrap().strip_suffix('m').unwrap();
+    assert!(timeout.parse::<u32>().unwrap() <= 4_500, "{timeout}");
+}
+
 /// Far less than a call's whole time, far more than what an answer that has begun is given.
 const SOON: Duration = Duration::from_secs(6);
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -440,8 +440,10 @@
 /// What a dispatcher asks its sender to do, in order.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
-    /// Call an endpoint with a message. Sends of one round to one endpoint share a call where its kind batches.
+    /// Call an endpoint with a message.
     Send {
+        /// Sends of one round with the same number share a call, which ends at the longest of their timeouts.
+        call: u64,
         /// The message.
         id: MsgId,
         /// The endpoint.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -874,7 +874,9 @@
         }
     }
 
-    /// One call: this message, and where the kind batches, others of the hold that may share its fate.
+    /// One call: this message, and where the kind batches, others of the hold that may share its fate. It
+    /// lasts no longer than any of them: an answer that comes after one is over may speak for none. So those
+    /// with less time left than an answer usually takes go with their like.
     fn send(&mut self, id: MsgId, endpoint: EndpointId, out: &mut Vec<Action>) {
         let now = self.now;
         let e = &self.endpoints[&endpoint];
@@ -882,7 +884,14 @@
         let most = if trial { 1 } else { self.set.kinds.get(kind).map_or(1, |k| k.batch.max(1)) as usize };
         let others = self.dests[&dest].hold.iter().map(|(_, other)| *other);
         let others = others.filter(|other| *other != id && self.fits(*other, endpoint, false));
+        let Some(lane) = self.lanes.get(&e.lane) else { return };
+        let patience = (TIMEOUT * lane.latency.p99()).max(TIMEOUT_LEAST) as Micros;
+        let left = |id: &MsgId| self.msgs[id].deadline - now;
+        let usual = lane.latency.p99() as Micros;
+        let (first, least) = (left(&id), usual.min(left(&id) * 3 / 4));
+        let others = others.filter(|o| left(o) >= least && (first >= usual || left(o) < usual));
         let batch: Vec<MsgId> = [id].into_iter().chain(others).take(most).collect();
+        let longest = batch.iter().map(left).min().unwrap_or(first).max(1);
         let repeatable = batch.iter().all(|id| self.repeatable(&self.msgs[id]));
         self.seq += 1;
         let (call, left) = (self.seq, batch.len() as u32);
@@ -907,23 +916,21 @@
         lane.out += 1;
         lane.tokens -= 1.0;
         self.agenda.insert((now + lane.latency.silence() as Micros + 1, Due::Call(call)));
-        let patience = (TIMEOUT * lane.latency.p99()).max(TIMEOUT_LEAST) as Micros;
         for id in batch {
             let Some(msg) = self.msgs.get_mut(&id) else { continue };
             let class = self.set.classes.get(msg.class).cloned().unwrap_or_default();
-            let left = msg.deadline - now;
             let timeout = match class.effect {
                 Effect::Free => patience,
                 Effect::Guarded => patience.min((class.window as f64 * WINDOW_PART) as Micros),
-                Effect::SingleShot => left,
+                Effect::SingleShot => longest,
             };
-            let timeout = timeout.clamp(1, left.max(1));
+            let timeout = timeout.clamp(1, longest);
             msg.out.push(Attempt { no: msg.attempts, call, sent: now });
             msg.attempts += 1;
             if let Some(d) = self.dests.get_mut(&dest) {
                 d.hold.remove(&(msg.seq, id));
             }
-            out.push(Action::Send { id, endpoint, timeout });
+            out.push(Action::Send { call, id, endpoint, timeout });
         }
     }
 
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -114,7 +114,7 @@
         let mut fresh = Vec::new();
         for a in &actions {
             match a {
-                Action::Send { id, endpoint, timeout } => {
+                Action::Send { id, endpoint, timeout, .. } => {
                     let n = self.attempts.entry(id.0).or_insert(0);
                     let (id, endpoint, timeout) = (id.0, endpoint.0, *timeout);
                     fresh.push(Out { id, attempt: *n, endpoint, sent: self.now, timeout });
--- a/tests/design.rs
+++ b/tests/design.rs
@@ -205,6 +205,34 @@
     assert_eq!(trial.len(), 1, "trials are single");
 }
 
+/// A message with this much time.
+fn timed(id: u64, class: usize, time: Micros) -> Event {
+    let Event::Message { id, class, tenant, key, dest, again, .. } = message(id, class, 1) else {
+        unreachable!()
+    };
+    Event::Message { id, class, tenant, key, dest, time_left: time, again }
+}
+
+#[test]
+fn a_call_ends_with_the_first_of_its_messages_to_run_out_of_time() {
+    let mut w = World::new(settings(), vec![]);
+    w.round(&[
+        timed(1, FREE, 6 * S),
+        timed(2, UNSAFE, 12 * S),
+        timed(3, FREE, 1200 * MS),
+        timed(4, KEYED, 12 * S),
+    ]);
+    w.pass(S);
+    w.round(&[timed(5, UNSAFE, 12 * S)]);
+    let sent = w.round(&[Event::Members { whole: true, entries: vec![entry(1, 1, 1)] }]);
+    let timeout = |id: u64| sent.iter().find(|o| o.id == id).unwrap().timeout;
+    assert_eq!(sent.len(), 5);
+    assert!(timeout(1) <= 5 * S);
+    assert!((4900 * MS..=5 * S).contains(&timeout(2)), "not longer than message 1 has: {}", timeout(2));
+    assert_eq!(timeout(5), timeout(2));
+    assert!(timeout(3) <= 200 * MS, "it goes by itself, with little time");
+}
+
 #[test]
 fn spoilt_answers_prove_an_endpoint_alive() {
     // They come from the healthy too: five in a row must not bench the endpoint, as failures would.
--- a/tests/random.rs
+++ b/tests/random.rs
@@ -123,7 +123,7 @@
         let mut calls = BTreeSet::new();
         for a in &actions {
             match a {
-                Action::Send { id, endpoint, timeout } => {
+                Action::Send { id, endpoint, timeout, .. } => {
                     let turn = {
                         let t = &truth[&id.0];
                         let before = |o: &&Truth| {
--- a/wirehost/src/lib.rs
+++ b/wirehost/src/lib.rs
@@ -314,7 +314,7 @@
     let hex = |id: &MsgId| format!("{:016x}", id.0);
     let name = |e: &EndpointId| names.get(e.0 as usize).map_or("", String::as_str);
     match action {
-        Action::Send { id, endpoint, timeout } => {
+        Action::Send { id, endpoint, timeout, .. } => {
             json!(["Issue", sender, hex(id), name(endpoint), timeout])
         }
         Action::Cancel { id, attempt } => json!(["AbortAttempt", sender, hex(id), attempt]),
