A silent call that others have overtaken is given up when its destination's pool is full

Now also where a pool keeps messages waiting, and there only on calls whose endpoint has answered since, so that a hung destination's calls are waited for as before. Test in design.rs failed before.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -649,22 +649,28 @@
 
     /// Guards against silent calls filling the slots (a hung destination's unsafe calls hold theirs until the
     /// deadline): short of slots, with others waiting, the call that has been silent longest for its lane is
-    /// given up, sooner where that loses no message. Covers any cause of silence; harms an unsafe message
-    /// whose answer was merely late.
+    /// given up, sooner where that loses no message. Where only the destination's own pool keeps messages
+    /// waiting, only a call that others have overtaken: its endpoint answers, its connection is what is dead.
+    /// Covers any cause of silence; harms an unsafe message whose answer was merely late.
     fn reclaim(&mut self, out: &mut Vec<Action>) {
         let reserve = (self.set.slots as f64 * RECLAIM_RESERVE).ceil() as u32;
         let held = |d: &DestId| self.dests.get(d).is_some_and(|d| !d.hold.is_empty());
-        let short = self.set.slots.saturating_sub(self.used) < reserve;
-        if !self.set.cancel || !short || !self.ready.iter().any(held) {
+        let short = self.set.slots.saturating_sub(self.used) < reserve && self.ready.iter().any(held);
+        let pinched = self.dests.iter().filter(|(_, d)| !d.hold.is_empty() && self.pinched(d));
+        let pinched: BTreeSet<DestId> = pinched.map(|(id, _)| *id).collect();
+        if !self.set.cancel || (!short && pinched.is_empty()) {
             return;
         }
         // Silence as a multiple of what is waited for.
         let over = |c: &Call| {
-            let lane = self.endpoints.get(&c.endpoint).and_then(|e| self.lanes.get(&e.lane));
+            let e = self.endpoints.get(&c.endpoint)?;
+            let silence = self.lanes.get(&e.lane)?.latency.silence();
+            let overtaken = pinched.contains(&e.dest) && (e.last_ok - c.sent) as f64 > silence;
             let patience = if c.repeatable { RECLAIM_REPEATABLE } else { RECLAIM_AFTER };
-            lane.map_or(0.0, |l| (self.now - c.sent) as f64 / (l.latency.silence() * patience))
+            (short || overtaken).then_some((self.now - c.sent) as f64 / (silence * patience))
         };
-        let silent = self.calls.iter().filter(|(_, c)| !c.cancelled).map(|(id, c)| (over(c), *id));
+        let silent = self.calls.iter().filter(|(_, c)| !c.cancelled);
+        let silent = silent.filter_map(|(id, c)| over(c).map(|share| (share, *id)));
         let worst = silent.filter(|s| s.0 > 1.0).max_by(|a, b| a.0.total_cmp(&b.0));
         let Some((_, call)) = worst else { return };
         self.calls.entry(call).and_modify(|c| c.cancelled = true);
@@ -674,6 +680,29 @@
         }
     }
 
+    fn share_of_slots(&self, share: f64) -> u32 {
+        ((self.set.slots as f64 * share) as u32).max(1)
+    }
+
+    /// Whether a destination has all the calls out that it may have, wherever they are.
+    fn full(&self, d: &Dest) -> bool {
+        d.endpoints.iter().filter_map(|id| self.endpoints.get(id)).map(|e| e.out).sum::<u32>()
+            >= self.share_of_slots(DEST_CAP)
+    }
+
+    /// Whether a destination may have more calls out than its permits.
+    fn borrows(&self, d: &Dest) -> bool {
+        let free = self.set.slots.saturating_sub(self.used);
+        let mut mine = d.endpoints.iter().filter_map(|id| self.endpoints.get(id)).filter(|e| e.listed);
+        free > (self.set.slots as f64 * BORROW_RESERVE).ceil() as u32 && !mine.any(|e| self.doubtful(e))
+    }
+
+    /// Whether a destination's calls that are out keep others from going.
+    fn pinched(&self, d: &Dest) -> bool {
+        let mut lanes = d.endpoints.iter().filter_map(|id| self.lanes.get(&self.endpoints.get(id)?.lane));
+        self.full(d) || (lanes.any(|l| l.out >= l.permits) && !self.borrows(d))
+    }
+
     /// Endpoints in trouble are asked by a probe first, where that is allowed.
     fn probe(&mut self, dest: DestId, out: &mut Vec<Action>) {
         let Some(d) = self.dests.get(&dest).filter(|_| self.set.probes) else { return };
@@ -691,18 +720,13 @@
     /// What could take a call now, whether a repeatable one only, its cost; and when to look again.
     fn usable(&self, dest: DestId) -> (Vec<(EndpointId, bool, f64)>, Look) {
         let now = self.now;
-        let slots = self.set.slots as f64;
         let (mut list, mut look) = (Vec::new(), Look { at: Micros::MAX, slot: false });
         let Some(d) = self.dests.get(&dest) else { return (list, look) };
         let mine = || d.endpoints.iter().filter_map(|id| self.endpoints.get(id).map(|e| (id, e)));
-        let total: u32 = mine().map(|(_, e)| e.out).sum();
         let doubtful = mine().any(|(_, e)| e.listed && self.doubtful(e));
-        let part = |share: f64| ((slots * share) as u32).max(1);
-        let full = total >= part(DEST_CAP);
-        let sick = doubtful && self.sick_out() >= part(ALL_SICK_CAP);
+        let sick = doubtful && self.sick_out() >= self.share_of_slots(ALL_SICK_CAP);
+        let (full, borrow) = (self.full(d), self.borrows(d));
         look.slot = sick;
-        let free = self.set.slots.saturating_sub(self.used);
-        let borrow = !doubtful && free > (slots * BORROW_RESERVE).ceil() as u32;
         for (id, e) in mine().filter(|(_, e)| e.listed) {
             let Some(lane) = self.lanes.get(&e.lane) else { continue };
             // A call that outlives the sender may have run for nothing: it is left to the next start.
--- a/tests/design.rs
+++ b/tests/design.rs
@@ -153,6 +153,35 @@
     assert!((1200 * MS..1400 * MS).contains(&waited(UNSAFE)), "{}", waited(UNSAFE));
 }
 
+#[test]
+fn a_silent_call_that_others_have_overtaken_is_given_up_when_its_pool_is_full() {
+    // Seen on a day of dead connections: single calls that were never answered filled a destination's pool, and
+    // its messages waited for seconds beside an endpoint that answered, with slots to spare.
+    let cancelled_after = |answers: bool| {
+        let mut w = World::new(settings(), vec![entry(1, 1, 0)]);
+        w.healthy(1000, 30, FREE, 1, 200 * MS);
+        let start = w.now;
+        assert_eq!(fill(&mut w, 0, 5, UNSAFE, 1).len(), 5, "half of the slots but one");
+        for i in 0..2 {
+            w.pass(if i == 0 { 300 * MS } else { 40 * MS });
+            let sent = fill(&mut w, 50 + i, 1, UNSAFE, 1);
+            w.now += 50 * MS;
+            if answers {
+                w.finish(&sent[0], Outcome::Done);
+            } else if i == 0 {
+                break;
+            }
+        }
+        fill(&mut w, 100, 2, UNSAFE, 1);
+        while w.cancels.is_empty() && w.now - start < 5 * S {
+            w.pass(10 * MS);
+        }
+        w.now - start
+    };
+    assert!((1200 * MS..1400 * MS).contains(&cancelled_after(true)), "{}", cancelled_after(true));
+    assert!(cancelled_after(false) >= 5 * S, "a hung endpoint's calls may still be answered");
+}
+
 #[test]
 fn a_silent_endpoint_beside_a_healthy_one_gets_trials_only() {
     let mut w = World::new(settings(), vec![entry(1, 1, 0), entry(2, 1, 0)]);
