A call may hold any messages, and never lasts less than an answer is waited for

Seen in the log of every call: messages with 11 s left were cut off after 0.45 s, since one with little more than p99 left had joined their call to an endpoint that was just back; 17 of one node's 40 failures in the worst 3 s. Now all may join, and a call lasts as long as its shortest message but at least 4 x p99.

--- a/sender/tests/outcomes.rs
+++ b/sender/tests/outcomes.rs
@@ -229,6 +229,16 @@
 #[test]
 fn a_call_is_given_up_when_the_first_of_its_messages_runs_out_of_time() {
     let (endpoint, platform, sender) = batching(|r| if r.is_batch() { Act::Silence } else { status(200) });
+    // The sender learns how long an answer takes.
+    assert_eq!(sender.client().put("a1", SYNC), "+OK");
+    wait_until("a1 to go again", || endpoint.times("a1") == 2);
+    let waited = std::sync::atomic::AtomicBool::new(false);
+    endpoint.act(move |r| {
+        if waited.swap(true, std::sync::atomic::Ordering::SeqCst) {
+            return if r.is_batch() { Act::Silence } else { status(200) };
+        }
+        Act::Answer(429, vec![("X-Retry-In-Ms", "900".into())], String::new())
+    });
     let start = Instant::now();
     hand_in_together(&endpoint, &sender, &[("b1", "c=pay,d=4500,dest=3"), ("b2", PAY), ("b3", PAY)]);
     platform.wait_state("b1", "failed");
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -898,9 +898,9 @@
         }
     }
 
-    /// One call: this message, and where the kind batches, others of the hold that may share its fate. It
-    /// lasts no longer than any of them: an answer that comes after one is over may speak for none. So those
-    /// with less time left than an answer usually takes go with their like.
+    /// One call: this message, and where the kind batches, others of the hold that may share its fate. Past
+    /// an answer's ordinary time it lasts no longer than any of them: an answer that comes after one is over
+    /// may speak for none.
     fn send(&mut self, id: MsgId, endpoint: EndpointId, out: &mut Vec<Action>) {
         let now = self.now;
         let e = &self.endpoints[&endpoint];
@@ -911,11 +911,8 @@
         let Some(lane) = self.lanes.get(&e.lane) else { return };
         let patience = (TIMEOUT * lane.latency.p99()).max(TIMEOUT_LEAST) as Micros;
         let left = |id: &MsgId| self.msgs[id].deadline - now;
-        let usual = lane.latency.p99() as Micros;
-        let (first, least) = (left(&id), usual.min(left(&id) * 3 / 4));
-        let others = others.filter(|o| left(o) >= least && (first >= usual || left(o) < usual));
         let batch: Vec<MsgId> = [id].into_iter().chain(others).take(most).collect();
-        let longest = batch.iter().map(left).min().unwrap_or(first).max(1);
+        let longest = batch.iter().map(left).min().unwrap_or(0).max(patience);
         let repeatable = batch.iter().all(|id| self.repeatable(&self.msgs[id]));
         self.seq += 1;
         let (call, left) = (self.seq, batch.len() as u32);
@@ -948,7 +945,7 @@
                 Effect::Guarded => patience.min((class.window as f64 * WINDOW_PART) as Micros),
                 Effect::SingleShot => longest,
             };
-            let timeout = timeout.clamp(1, longest);
+            let timeout = timeout.min(longest).clamp(1, (msg.deadline - now).max(1));
             msg.out.push(Attempt { no: msg.attempts, call, sent: now });
             msg.attempts += 1;
             if let Some(d) = self.dests.get_mut(&dest) {
