A pool that was never sized is sized although an endpoint of its destination is ill

Seen in a log of what each hold waits for: up to 259 messages wait, lane 1/1, tokens and budget free, 3 or 4 of 12 slots in use. Ruled out by the same lines: waits told, budget, limit, slots. Now a pool that has not been sized by 8 answers is sized once. Test in restart.rs failed before.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -18,6 +18,7 @@
 const RECLAIM_RESERVE: f64 = 0.2; // with fewer free slots than this share, silent calls are given up ...
 const RECLAIM_AFTER: f64 = 3.0; // ... once they have been out for this multiple of what counts as silence,
 const RECLAIM_REPEATABLE: f64 = 2.0; // or for this one where all their messages may go again
+const SIZED_FROM: f64 = 8.0; // answers by which a pool's size is known
 const RATE_MEMORY: f64 = 8e6; // of arrival rates: long against clumps, short against a day's swing
 const SHARE_MEMORY: f64 = 6e7; // of a sender's part of the traffic: long against gaps between messages
 const LATENCY_GAIN: f64 = 0.04; // weight of a new latency sample once there are many
@@ -629,7 +630,11 @@
             lane.pace = lane.budget.min(cap).min(UNPACED);
             lane.tokens = (lane.tokens + lane.pace * dt).min((lane.pace * BURST).max(1.0));
             lane.filled = now;
-            if now - lane.resized >= RESIZE && !lane.latency.slow() && !ill {
+            // A pool that has been sized in health is kept while an endpoint is ill. One that never was, as
+            // after a restart that recalls the illness, would stay at its start for as long.
+            let known = lane.latency.n >= SIZED_FROM;
+            if now - lane.resized >= RESIZE && !lane.latency.slow() && (!ill || (known && !lane.sized)) {
+                lane.sized = known;
                 lane.resized = now;
                 let top = ((self.set.slots as f64 * SHARE_CAP).ceil() as u32).max(1);
                 let sized = (own * lane.latency.p99() / 1e6 * SAFETY).ceil() as u32;
--- a/src/state.rs
+++ b/src/state.rs
@@ -38,6 +38,8 @@
     pub(crate) latency: Latency,
     pub(crate) permits: u32,
     pub(crate) resized: Micros,
+    /// It has been sized by enough answers.
+    pub(crate) sized: bool,
     pub(crate) out: u32,
     pub(crate) wait_until: Micros,
     pub(crate) budget: f64,
--- a/tests/restart.rs
+++ b/tests/restart.rs
@@ -103,3 +103,23 @@
     assert!(w.round(&[message(31, UNSAFE, 1)]).is_empty());
     assert!(w.pass(S).iter().all(|o| o.id != 31));
 }
+
+#[test]
+fn a_recalled_illness_does_not_keep_a_new_pool_at_its_start() {
+    // Seen on a recorded day: with one of two endpoints ill before a restart, the pool stayed at one permit.
+    let mut w = later(vec![entry(1, 1, 0), entry(2, 1, 0)]);
+    let health = Health { bad_since: Some(w.now - 5 * S), trouble: true, warm_since: None };
+    w.round(&[Event::Recalled { endpoint: EndpointId(1), health }]);
+    let mut most = 0;
+    for i in 0..200 {
+        w.round(&[message(i, UNSAFE, 1)]);
+        w.pass(100 * MS);
+        let at = |e: u32| w.out.iter().filter(|o| o.endpoint == e).count();
+        most = most.max(at(2));
+        let now = w.now;
+        for o in w.out.clone().iter().filter(|o| o.endpoint == 2 && now - o.sent >= 300 * MS) {
+            w.finish(o, Outcome::Done);
+        }
+    }
+    assert!(most > 1, "ten messages a second of 0.3 s each need more than one permit");
+}
