Packages under crates/: the sender a library, parsers and shared types apart

Change, without any in behaviour: sender/ and wirehost/ move under crates/; embershore-protocol holds what goes over sockets (commands, calls, the directory's lines, notices, settings) as values and parsers; the sender is a library with a thin main.rs, in which input.rs, clock.rs, fleet.rs and connection.rs hold what more than one part uses, so that nothing imports the driver. Without arguments the binary is the daemon as before; clap reads any others.

--- a/wirehost/src/settings.rs
+++ b/crates/protocol/src/settings.rs
@@ -1,4 +1,4 @@
-//! The start-up settings as they stand on the wire.
+//! The settings that a sender is started with, as they stand on the wire and in its configuration.
 
 use heronroute::{
     ClassSettings, Effect, Group, KindSettings, Late, Micros, Settings, TenantSettings, Weights,
--- a/sender/src/calls.rs
+++ b/crates/sender/src/calls.rs
@@ -1,36 +1,21 @@
 //! Calls to endpoints: their connections, one call on each at a time, and what comes back.
 
-use crate::discovery::Fleet;
-use base64::Engine;
-use base64::engine::general_purpose::STANDARD as BASE64;
-use bytes::{Bytes, BytesMut};
+use crate::connection::{Connection, Traffic};
+use crate::fleet::Fleet;
+use crate::input::{Ended, Fate};
+use bytes::Bytes;
+use embershore_protocol::call::{BatchState, Head, batch_body, read_head, state};
 use heronroute::{DestId, EndpointId, Micros, MsgId, Outcome, Report};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
-use hyper::client::conn::http1;
-use hyper::header::HeaderMap;
-use hyper::{Request, Response};
-use hyper_util::rt::TokioIo;
-use serde::{Deserialize, Serialize};
-use std::cell::{Cell, RefCell};
+use hyper::Request;
+use std::cell::RefCell;
 use std::collections::{HashMap, VecDeque};
-use std::future::Future;
-use std::io;
 use std::net::SocketAddr;
-use std::pin::{Pin, pin};
 use std::rc::Rc;
-use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
 use tokio::sync::{Semaphore, oneshot};
 
 const ANSWER_MOST: usize = 64 * 1024;
-/// An answer's head is shorter than this.
-const HEAD_MOST: usize = 16 * 1024;
-/// An answer that has begun must have come to its end by then: one that is spoilt may never, and its call would
-/// hold a slot for all of its time.
-const REST_TIME: Duration = Duration::from_millis(400);
 /// A connection is used only after this: again, so that bytes which follow an answer show up before the next
 /// request (they would be read as its answer), and at first, so that a reset does which meets a new one.
 const SETTLE_TIME: Duration = Duration::from_millis(2);
@@ -44,212 +29,6 @@
 /// Probes that are out at once: each takes a descriptor beside those of the calls.
 pub const PROBES_MOST: usize = 8;
 
-/// What has passed on a socket, as far as the outcome of a call depends on it and hyper does not tell.
-#[derive(Debug, Default)]
-struct Traffic {
-    written: Cell<u64>,
-    /// The bytes that had been written when all that was to be written had been.
-    flushed: Cell<u64>,
-    /// A request is out whose answer has not begun.
-    awaited: Cell<bool>,
-    /// When an answer began, or a line before it that is not over.
-    began: Cell<Option<Instant>>,
-    /// The status in the answer's first line.
-    status: Cell<Option<u16>>,
-    /// The other side has ended the connection.
-    ended: Cell<bool>,
-}
-
-impl Traffic {
-    fn expect(&self) {
-        self.awaited.set(true);
-        self.began.set(None);
-        self.status.set(None);
-    }
-
-    /// Waits until an answer that has begun is long overdue. To be polled beside what reads it.
-    async fn overdue(&self) {
-        loop {
-            let began = std::future::poll_fn(|_| self.began.get().map_or(Poll::Pending, Poll::Ready)).await;
-            tokio::time::sleep_until((began + REST_TIME).into()).await;
-            if self.began.get() == Some(began) {
-                return;
-            }
-        }
-    }
-}
-
-/// A socket that tells when a request's last byte has been written (hyper flushes it only once its own buffer is
-/// empty, and a request's head and body enter that buffer together) and what an answer's first line says, which
-/// decides even where the rest can't be read. It keeps 1xx answers to itself: hyper would take a 101 for the end
-/// of HTTP on the connection.
-struct Socket<S = TcpStream> {
-    stream: S,
-    traffic: Rc<Traffic>,
-    /// Read and not handed on: the first line so far, or all up to a 1xx answer's end.
-    held: BytesMut,
-}
-
-/// The status that a first line tells.
-fn status_of(line: &[u8]) -> Option<u16> {
-    let rest = line.strip_prefix(b"HTTP/1.").and_then(|r| r.strip_prefix(b"1").or(r.strip_prefix(b"0")))?;
-    let (code, rest) = rest.strip_prefix(b" ")?.split_at_checked(3)?;
-    let ends = rest.first().is_some_and(|b| b" \r\n".contains(b));
-    std::str::from_utf8(code).ok().filter(|c| ends && c.bytes().all(|b| b.is_ascii_digit()))?.parse().ok()
-}
-
-impl<S> Socket<S> {
-    fn new(stream: S, traffic: Rc<Traffic>) -> Self {
-        Socket { stream, traffic, held: BytesMut::new() }
-    }
-
-    /// Looks at what is held: drops 1xx answers that are whole, and lets go of it once the answer's first line is
-    /// known or can't be one.
-    fn look(&mut self) {
-        let t = &self.traffic;
-        while let Some(end) = self.held.iter().position(|b| *b == b'\n') {
-            let status = status_of(&self.held[..=end]);
-            if !status.is_some_and(|s| (100..200).contains(&s)) {
-                t.status.set(status);
-                t.awaited.set(false);
-                break;
-            }
-            let Some(blank) = self.held.windows(4).position(|w| w == b"\r\n\r\n") else { break };
-            _ = self.held.split_to(blank + 4);
-        }
-        if self.held.len() > HEAD_MOST {
-            t.awaited.set(false);
-        }
-        let began = (!self.held.is_empty()).then(|| t.began.get().unwrap_or_else(Instant::now));
-        t.began.set(began);
-    }
-}
-
-impl<S: AsyncRead + Unpin> AsyncRead for Socket<S> {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let this = &mut *self;
-        while this.traffic.awaited.get() {
-            let mut piece = [0; 1024];
-            let mut piece = ReadBuf::new(&mut piece);
-            std::task::ready!(Pin::new(&mut this.stream).poll_read(cx, &mut piece))?;
-            if piece.filled().is_empty() {
-                this.traffic.ended.set(true);
-                break;
-            }
-            this.held.extend_from_slice(piece.filled());
-            this.look();
-        }
-        if !this.held.is_empty() {
-            let n = this.held.len().min(buf.remaining());
-            buf.put_slice(&this.held.split_to(n));
-            return Poll::Ready(Ok(()));
-        }
-        let before = buf.filled().len();
-        let read = std::task::ready!(Pin::new(&mut this.stream).poll_read(cx, buf));
-        if read.is_err() || buf.filled().len() == before {
-            this.traffic.ended.set(true);
-        }
-        Poll::Ready(read)
-    }
-}
-
-impl<S: AsyncWrite + Unpin> AsyncWrite for Socket<S> {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        let n = std::task::ready!(Pin::new(&mut self.stream).poll_write(cx, buf))?;
-        self.traffic.written.set(self.traffic.written.get() + n as u64);
-        Poll::Ready(Ok(n))
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.traffic.flushed.set(self.traffic.written.get());
-        Pin::new(&mut self.stream).poll_flush(cx)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
-    }
-}
-
-type Driver = http1::Connection<TokioIo<Socket>, Full<Bytes>>;
-
-/// An HTTP/1.1 connection. Nothing runs it in the background: dropping it closes the socket at once, so that
-/// a call which was given up is never still out when the next one of its message begins.
-pub struct Connection {
-    requests: http1::SendRequest<Full<Bytes>>,
-    driver: Option<Driver>,
-    traffic: Rc<Traffic>,
-    addr: SocketAddr,
-    since: Instant,
-}
-
-impl Connection {
-    pub async fn open(addr: SocketAddr) -> io::Result<Self> {
-        let stream = TcpStream::connect(addr).await?;
-        stream.set_nodelay(true)?;
-        let traffic = Rc::new(Traffic::default());
-        let socket = TokioIo::new(Socket::new(stream, traffic.clone()));
-        let handshake = http1::Builder::new().max_buf_size(HEAD_MOST).handshake(socket);
-        let (requests, driver) = handshake.await.map_err(io::Error::other)?;
-        Ok(Connection { requests, driver: Some(driver), traffic, addr, since: Instant::now() })
-    }
-
-    pub fn addr(&self) -> SocketAddr {
-        self.addr
-    }
-
-    /// Runs the connection until `work` is done.
-    pub async fn drive<F: Future>(&mut self, work: F) -> F::Output {
-        let mut work = pin!(work);
-        std::future::poll_fn(|cx| {
-            if let Some(driver) = &mut self.driver
-                && Pin::new(driver).poll(cx).is_ready()
-            {
-                self.driver = None;
-            }
-            work.as_mut().poll(cx)
-        })
-        .await
-    }
-
-    pub async fn send(&mut self, request: Request<Full<Bytes>>) -> hyper::Result<Response<Incoming>> {
-        self.traffic.expect();
-        let answer = self.requests.send_request(request);
-        let mut driver = self.driver.take();
-        let mut answer = pin!(answer);
-        let result = std::future::poll_fn(|cx| {
-            // Twice: the connection takes the request that the first poll handed over, and its answer may
-            // have come by then.
-            if let Poll::Ready(r) = answer.as_mut().poll(cx) {
-                return Poll::Ready(r);
-            }
-            if let Some(d) = &mut driver
-                && Pin::new(d).poll(cx).is_ready()
-            {
-                driver = None;
-            }
-            answer.as_mut().poll(cx)
-        })
-        .await;
-        self.driver = driver;
-        result
-    }
-
-    /// Itself, if a further request may go on it: notices that the other side has closed it.
-    pub fn if_usable(mut self) -> Option<Self> {
-        let mut cx = Context::from_waker(std::task::Waker::noop());
-        if let Some(driver) = &mut self.driver
-            && Pin::new(driver).poll(&mut cx).is_ready()
-        {
-            self.driver = None;
-        }
-        (self.driver.is_some() && self.requests.is_ready()).then_some(self)
-    }
-}
-
 /// One message in a call.
 #[derive(Clone, Debug)]
 pub struct Item {
@@ -278,26 +57,6 @@
     Route(EndpointId),
 }
 
-/// How a message fared in a call.
-#[derive(Clone, Debug)]
-pub struct Fate {
-    pub id: MsgId,
-    pub attempt: u32,
-    pub outcome: Outcome,
-    /// Nothing more is owed.
-    pub over: bool,
-}
-
-/// How a call ended.
-#[derive(Debug)]
-pub struct Ended {
-    pub endpoint: EndpointId,
-    pub fates: Vec<Fate>,
-    pub elapsed: Micros,
-    pub wait: Micros,
-    pub report: Option<Report>,
-}
-
 /// What an answer says, for all messages of the call alike unless `states` tells each one's end.
 #[derive(Clone)]
 struct Answer {
@@ -312,6 +71,11 @@
     fn of(outcome: Outcome) -> Self {
         Answer { outcome, over: outcome == Outcome::Done, wait: 0, report: None, states: None }
     }
+
+    fn alike(head: Head) -> Self {
+        let Head { outcome, over, wait, report } = head;
+        Answer { outcome, over, wait, report, states: None }
+    }
 }
 
 /// What is known of a call that is out.
@@ -341,20 +105,6 @@
     }
 }
 
-#[derive(Serialize)]
-struct BatchItem<'a> {
-    id: &'a str,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    key: Option<&'a str>,
-    body: String,
-}
-
-#[derive(Deserialize)]
-struct BatchState {
-    id: String,
-    state: String,
-}
-
 /// A kept connection that was reset at its next request.
 struct Stale {
     endpoint: EndpointId,
@@ -443,7 +193,7 @@
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&endpoint)?;
         // An endpoint may be listed again under another address.
-        connections.retain(|c| c.addr == addr && c.since.elapsed() < most);
+        connections.retain(|c| c.addr() == addr && c.since.elapsed() < most);
         while let Some(at) = connections.iter().rposition(|c| c.since.elapsed() >= SETTLE_TIME) {
             if let Some(connection) = connections.remove(at).if_usable() {
                 return Some(connection);
@@ -558,7 +308,7 @@
         seen: &Seen,
     ) -> Option<Answer> {
         let response = connection.send(request).await.ok()?;
-        let mut answer = read_head(response.status().as_u16(), response.headers());
+        let mut answer = Answer::alike(read_head(response.status().as_u16(), response.headers()));
         self.learn_wait(order.lane, answer.wait);
         seen.head.replace(Some(answer.clone()));
         let body = connection.drive(Limited::new(response.into_body(), ANSWER_MOST).collect()).await.ok()?;
@@ -605,37 +355,6 @@
     connection.if_usable()
 }
 
-fn state(state: Option<&str>) -> (Outcome, bool) {
-    match state {
-        Some("ok") => (Outcome::Done, true),
-        Some("later") => (Outcome::Busy, false),
-        Some("gone") => (Outcome::Skipped, true),
-        Some("exhausted") => (Outcome::Skipped, false),
-        _ => (Outcome::Error, false),
-    }
-}
-
-fn read_head(status: u16, headers: &HeaderMap) -> Answer {
-    let number = |name: &str| headers.get(name)?.to_str().ok()?.trim().parse::<u32>().ok();
-    let outcome = match status {
-        200 => Outcome::Done,
-        503 if number("x-no-slot") == Some(1) => Outcome::Skipped,
-        429 | 503 => Outcome::Busy,
-        // Malformed, too many in a batch, all attempts used, over: none of these has run.
-        400 | 413 | 504 | 410 => Outcome::Skipped,
-        _ => Outcome::Error,
-    };
-    let wait = Micros::from(number("x-retry-in-ms").unwrap_or(0)) * 1000;
-    let report = headers.get("x-server-load").and_then(|v| v.to_str().ok()).map(|text| {
-        let figure = |name: &str| {
-            let pairs = text.split(',').filter_map(|pair| pair.trim().split_once('='));
-            pairs.filter(|(n, _)| *n == name).find_map(|(_, v)| v.parse().ok())
-        };
-        Report { left: figure("x0"), limit: figure("x1") }
-    });
-    Answer { outcome, over: matches!(status, 200 | 410), wait, report, states: None }
-}
-
 fn request(order: &Order, left: Duration) -> Result<Request<Full<Bytes>>, Box<dyn std::error::Error>> {
     let head = Request::builder()
         .method("POST")
@@ -650,12 +369,8 @@
             head.body(Full::new(item.body.clone()))?
         }
         items => {
-            let items = items.iter().map(|i| BatchItem {
-                id: &i.request_id,
-                key: i.idempotency_key.as_deref(),
-                body: BASE64.encode(&i.body),
-            });
-            let body = serde_json::to_vec(&items.collect::<Vec<_>>())?;
+            let items = items.iter().map(|i| (&*i.request_id, i.idempotency_key.as_deref(), &*i.body));
+            let body = batch_body(items)?;
             head.uri("/v1/messages:batch")
                 .header("content-type", "application/json")
                 .body(Full::new(body.into()))?
@@ -666,41 +381,6 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use tokio::io::{AsyncReadExt, DuplexStream};
-
-    /// Sends a request with a long body through a pipe of 64 bytes of which `read` reads; what was written.
-    async fn written(read: impl AsyncFnOnce(&mut DuplexStream)) -> Rc<Traffic> {
-        let (near, mut far) = tokio::io::duplex(64);
-        let traffic = Rc::new(Traffic::default());
-        let socket = Socket::new(near, traffic.clone());
-        let (mut requests, driver) = http1::handshake(TokioIo::new(socket)).await.unwrap();
-        let request = Request::post("/v1/messages").body(Full::new(Bytes::from(vec![7; 10_000]))).unwrap();
-        let reading = async {
-            read(&mut far).await;
-            drop(far);
-        };
-        let (answer, _, ()) = tokio::join!(requests.send_request(request), driver, reading);
-        assert!(answer.is_err());
-        traffic
-    }
-
-    #[tokio::test]
-    async fn a_call_counts_as_written_only_with_its_last_byte() {
-        let cut = written(async |far| _ = far.read_exact(&mut [0; 5_000]).await.unwrap()).await;
-        assert!(cut.written.get() >= 5_000);
-        assert_eq!(cut.flushed.get(), 0);
-        let whole = written(async |far| {
-            let mut seen = Vec::new();
-            while !seen.ends_with(&[7; 10_000]) {
-                far.read_buf(&mut seen).await.unwrap();
-            }
-            // The other side sees the last byte before this one is told so.
-            tokio::task::yield_now().await;
-        });
-        let whole = whole.await;
-        assert!(whole.flushed.get() > 10_000);
-        assert_eq!(whole.flushed.get(), whole.written.get());
-    }
 
     #[tokio::test]
     async fn a_new_connection_that_ends_at_once_is_not_written_to() {
--- a/sender/src/main.rs
+++ b/crates/sender/src/daemon.rs
@@ -1,21 +1,16 @@
-//! `embershore`: takes messages from clients and delivers them to outside receivers, as the decision module
-//! says. Configured by `LB_CONFIG` and the variables beside it.
+//! The daemon: reads its configuration, puts its parts together and runs them.
 
-mod calls;
-mod clients;
-mod discovery;
-mod driver;
-mod journal;
-mod notices;
-
-use driver::{Clock, Driver, Input, Parts};
-use heronroute_wirehost::settings::ProfileData;
+use crate::clock::Clock;
+use crate::driver::{Driver, Parts};
+use crate::input::{Input, Phase};
+use crate::{calls, clients, discovery, fleet, journal, notices};
+use embershore_protocol::listing::Listing;
+use embershore_protocol::settings::ProfileData;
 use serde::Deserialize;
 use std::cell::RefCell;
 use std::error::Error;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -39,7 +34,7 @@
     seed: String,
     #[serde(default)]
     limits: Limits,
-    known: Option<discovery::Listing>,
+    known: Option<Listing>,
     settings: ProfileData,
 }
 
@@ -98,7 +93,7 @@
     }
 }
 
-async fn run() -> Result<(), Box<dyn Error>> {
+async fn serve() -> Result<(), Box<dyn Error>> {
     // Before anything is awaited: by default either signal ends the process.
     let (mut terminate, hang_up) = (signal(SignalKind::terminate())?, signal(SignalKind::hangup())?);
     let var = |name: &str| std::env::var(name).map_err(|_| format!("{name} is not set"));
@@ -111,7 +106,7 @@
     let names = config.settings.names();
     let connect_timeout = config.settings.connect_timeout().unwrap_or(CONNECT_TIMEOUT).max(1);
     let settings = config.settings.settings();
-    let fleet = Rc::new(RefCell::new(discovery::Fleet::new(names.clone())));
+    let fleet = Rc::new(RefCell::new(fleet::Fleet::new(names.clone())));
     let calls = calls::Calls::new(
         fleet.clone(),
         Duration::from_micros(settings.idle_close.max(0) as u64),
@@ -120,7 +115,7 @@
     );
     let (inputs, inbox) = mpsc::channel(INPUTS_MOST);
     let (notices, queue) = mpsc::unbounded_channel();
-    let (phase, follow_phase) = watch::channel(clients::Phase::Starting);
+    let (phase, follow_phase) = watch::channel(Phase::Starting);
     let (discovery, follow_discovery) = watch::channel(config.discovery);
     let listener =
         TcpListener::bind(config.listen).await.map_err(|e| format!("listen on {}: {e}", config.listen))?;
@@ -151,17 +146,12 @@
     Ok(())
 }
 
-fn main() -> ExitCode {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let result = runtime.map_err(Into::into).and_then(|runtime| {
-        let local = tokio::task::LocalSet::new();
-        local.block_on(&runtime, run())
-    });
-    match result {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(e) => {
-            eprintln!("embershore: {e}");
-            ExitCode::FAILURE
-        }
-    }
+/// Runs the sender as `LB_CONFIG` and `LB_STATE` in its environment say, until it has been told to stop and has done
+/// so.
+///
+/// # Errors
+/// Names what it could not start with: a variable, the configuration, the journal or the address to listen on.
+pub fn run() -> Result<(), Box<dyn Error>> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    tokio::task::LocalSet::new().block_on(&runtime, serve())
 }
--- a/sender/src/discovery.rs
+++ b/crates/sender/src/discovery.rs
@@ -1,20 +1,18 @@
-//! The list of endpoints: how it is learnt, and how its names are numbered.
+//! The list of endpoints: how it is learnt.
 
-use crate::calls::Connection;
-use crate::driver::Input;
+use crate::connection::Connection;
+use crate::fleet::Fleet;
+use crate::input::Input;
 use bytes::Bytes;
-use heronroute::{DestId, EndpointEntry, EndpointId, Status};
-use heronroute_wirehost::settings::Names;
+use embershore_protocol::listing::Listing;
 use http_body_util::{BodyExt, Full};
 use hyper::Request;
 use hyper::body::Incoming;
-use serde::Deserialize;
 use std::cell::RefCell;
-use std::collections::{HashMap, HashSet};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::sync::{mpsc, watch};
 
 /// The watch says something every 2 s; a silence this long means that it is dead.
@@ -24,129 +22,6 @@
 const RETRY_FIRST: Duration = Duration::from_millis(100);
 const RETRY_MOST: Duration = Duration::from_secs(2);
 const LINE_MOST: usize = 4 << 20;
-/// A gone endpoint keeps its number for this long, in case it is named again. Where endpoints are ever new, what
-/// is kept of the gone ones is most of what is kept at all.
-const KEEP_GONE: Duration = Duration::from_secs(60);
-/// A destination is known for this long after its last endpoint has gone.
-const KEEP_DEST: Duration = Duration::from_secs(3600);
-/// Destinations that are remembered beside those with an endpoint.
-const DESTS_MOST: usize = 10_000;
-
-/// A list, or changes to it, as discovery tells them.
-#[derive(Clone, Debug, Deserialize)]
-pub struct Listing {
-    pub index: u64,
-    #[serde(default)]
-    pub snapshot: bool,
-    #[serde(default)]
-    pub endpoints: Vec<Line>,
-}
-
-#[derive(Clone, Debug, Deserialize)]
-pub struct Line {
-    pub name: String,
-    #[serde(default)]
-    address: String,
-    #[serde(default)]
-    zone: String,
-    #[serde(rename = "type", default)]
-    kind: String,
-    #[serde(default)]
-    group: i64,
-    pub status: String,
-    weight: Option<f64>,
-}
-
-/// An endpoint as last listed.
-#[derive(Clone, Debug)]
-pub struct Endpoint {
-    pub name: String,
-    pub addr: Option<SocketAddr>,
-    pub dest: DestId,
-    pub kind: usize,
-    zone: usize,
-    /// Listed, neither draining nor gone.
-    pub ready: bool,
-    gone: Option<Instant>,
-}
-
-/// All endpoints by number. A name keeps its number when it is listed again.
-#[derive(Debug, Default)]
-pub struct Fleet {
-    names: Names,
-    numbers: HashMap<String, EndpointId>,
-    endpoints: HashMap<EndpointId, Endpoint>,
-    /// The destinations, and when an endpoint of each was last named.
-    dests: HashMap<DestId, Instant>,
-    next: u32,
-}
-
-impl Fleet {
-    pub fn new(names: Names) -> Self {
-        Fleet { names, ..Fleet::default() }
-    }
-
-    pub fn get(&self, id: EndpointId) -> Option<&Endpoint> {
-        self.endpoints.get(&id)
-    }
-
-    pub fn number(&self, name: &str) -> Option<EndpointId> {
-        self.numbers.get(name).copied()
-    }
-
-    /// Whether the destination has an endpoint or had one not long ago.
-    pub fn knows(&self, dest: DestId) -> bool {
-        self.dests.contains_key(&dest)
-    }
-
-    /// Takes a listing over and puts it into the module's words. What a whole list lacks is named as removed.
-    pub fn apply(&mut self, listing: &Listing) -> Vec<EndpointEntry> {
-        let now = Instant::now();
-        let mut entries: Vec<EndpointEntry> =
-            listing.endpoints.iter().map(|line| self.take(line, now)).collect();
-        if listing.snapshot {
-            let named: HashSet<EndpointId> = entries.iter().map(|e| e.endpoint).collect();
-            let present = self.endpoints.iter_mut().filter(|(_, e)| e.gone.is_none());
-            entries.extend(present.filter(|(id, _)| !named.contains(id)).map(|(id, e)| {
-                (e.ready, e.gone) = (false, Some(now));
-                let (endpoint, dest, kind, zone) = (*id, e.dest, e.kind, e.zone);
-                EndpointEntry { endpoint, dest, status: Status::Removed, kind, zone, weight: None }
-            }));
-        }
-        let kept = |e: &Endpoint| e.gone.is_none_or(|t| now - t < KEEP_GONE);
-        self.numbers.retain(|_, id| self.endpoints.get(id).is_some_and(kept));
-        self.endpoints.retain(|_, e| kept(e));
-        for e in self.endpoints.values() {
-            self.dests.insert(e.dest, now);
-        }
-        if self.dests.len() > DESTS_MOST {
-            self.dests.retain(|_, named| *named == now);
-        }
-        self.dests.retain(|_, named| now - *named < KEEP_DEST);
-        entries
-    }
-
-    fn take(&mut self, line: &Line, now: Instant) -> EndpointEntry {
-        let status = match line.status.as_str() {
-            "Ready" => Status::Up,
-            "Gone" => Status::Removed,
-            // `Terminating`, and what is not known yet: nothing new goes there.
-            _ => Status::Draining,
-        };
-        let index = |names: &[String], name: &str| names.iter().position(|n| n == name).unwrap_or(usize::MAX);
-        let (kind, zone) = (index(&self.names.kinds, &line.kind), index(&self.names.zones, &line.zone));
-        let id = *self.numbers.entry(line.name.clone()).or_insert_with(|| {
-            self.next += 1;
-            EndpointId(self.next)
-        });
-        let dest = DestId(line.group);
-        let gone = (status == Status::Removed).then_some(now);
-        let (name, addr, ready) = (line.name.clone(), line.address.parse().ok(), status == Status::Up);
-        self.endpoints.insert(id, Endpoint { name, addr, dest, kind, zone, ready, gone });
-        EndpointEntry { endpoint: id, dest, status, kind, zone, weight: line.weight }
-    }
-}
-
 /// Follows the list for ever. The fleet is changed as soon as a line is read, so that a drain stops calls that
 /// have not begun; the driver is told of it in order. When discovery's address changes, the new one is asked at
 /// once, and for the whole list: it may not know the version that the old one last told.
--- a/sender/src/driver.rs
+++ b/crates/sender/src/driver.rs
@@ -1,21 +1,23 @@
 //! The core: feeds the dispatcher with what happens, in rounds, and carries out what it decides.
 
-use crate::calls::{Calls, Ended, Item, Lane, Order};
-use crate::clients::{Phase, Reply};
-use crate::discovery::{Fleet, Listing};
-use crate::journal::{Accepted, End, Journal};
-use crate::notices::Notice;
-use bytes::Bytes;
+use crate::calls::{Calls, Item, Lane, Order};
+use crate::clock::Clock;
+use crate::fleet::Fleet;
+use crate::input::{Ended, Input, Notice, Phase};
+use crate::journal::{Accepted, Journal};
+use embershore_protocol::listing::Listing;
+use embershore_protocol::notice::End;
+use embershore_protocol::resp::{Put, Reply};
+use embershore_protocol::settings::Names;
 use heronroute::{
     Action, DestId, Dispatcher, Effect, EndpointEntry, EndpointId, Event, KindSettings, Micros, MsgId,
-    Outcome, Report, Settings, Status,
+    Outcome, Settings, Status,
 };
-use heronroute_wirehost::settings::Names;
 use std::cell::RefCell;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, HashMap};
 use std::rc::Rc;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 use tokio::sync::{mpsc, oneshot, watch};
 
 /// How long a new start waits for discovery's word before it goes by the list it was given.
@@ -28,54 +30,6 @@
 const EXIT_AFTER: Micros = 3_500_000;
 const RETIRE_EVERY: Micros = 500_000;
 
-/// A message as a client hands it in.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct Put {
-    pub request_id: String,
-    pub order_key: String,
-    pub class: String,
-    pub tenant: String,
-    pub time_left: Micros,
-    pub dest: i64,
-    pub idempotency_key: Option<String>,
-    pub again: bool,
-    pub body: Bytes,
-}
-
-/// What can happen to a sender.
-#[derive(Debug)]
-pub enum Input {
-    Put(Put, oneshot::Sender<Reply>),
-    Members { index: u64, whole: bool, entries: Vec<EndpointEntry> },
-    Ended(u64, Ended),
-    Probed(EndpointId, Outcome, Option<Report>),
-    Noticed(Vec<u64>),
-    Stop,
-}
-
-/// Wall-clock microseconds that never go back: journal and dispatcher share them.
-#[derive(Clone, Copy, Debug)]
-pub struct Clock {
-    wall: Micros,
-    start: Instant,
-}
-
-impl Clock {
-    pub fn start() -> Self {
-        let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { wall: wall.as_micros() as Micros, start: Instant::now() }
-    }
-
-    pub fn now(&self) -> Micros {
-        self.wall + self.start.elapsed().as_micros() as Micros
-    }
-
-    fn instant(&self, at: Micros) -> tokio::time::Instant {
-        let after = Duration::from_micros((at - self.wall).max(0) as u64);
-        (self.start + after).into()
-    }
-}
-
 /// What a message needs while it is held, beside its journal entry.
 #[derive(Default)]
 struct Live {
--- /dev/null
+++ b/crates/sender/src/input.rs
@@ -0,0 +1,54 @@
+//! What the parts of the sender tell each other.
+
+use embershore_protocol::notice::End;
+use embershore_protocol::resp::{Put, Reply};
+use heronroute::{EndpointEntry, EndpointId, Micros, MsgId, Outcome, Report};
+use tokio::sync::oneshot;
+
+/// What can happen to a sender.
+#[derive(Debug)]
+pub enum Input {
+    Put(Put, oneshot::Sender<Reply>),
+    Members { index: u64, whole: bool, entries: Vec<EndpointEntry> },
+    Ended(u64, Ended),
+    Probed(EndpointId, Outcome, Option<Report>),
+    Noticed(Vec<u64>),
+    Stop,
+}
+
+/// How far the sender is: clients' connections follow it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    Starting,
+    Serving,
+    /// Connections close between requests.
+    Closing,
+}
+
+/// How a message fared in a call.
+#[derive(Clone, Debug)]
+pub struct Fate {
+    pub id: MsgId,
+    pub attempt: u32,
+    pub outcome: Outcome,
+    /// Nothing more is owed.
+    pub over: bool,
+}
+
+/// How a call ended.
+#[derive(Debug)]
+pub struct Ended {
+    pub endpoint: EndpointId,
+    pub fates: Vec<Fate>,
+    pub elapsed: Micros,
+    pub wait: Micros,
+    pub report: Option<Report>,
+}
+
+/// An end that the platform is owed.
+#[derive(Debug)]
+pub struct Notice {
+    pub id: u64,
+    pub request_id: String,
+    pub end: End,
+}
--- a/sender/src/journal.rs
+++ b/crates/sender/src/journal.rs
@@ -5,6 +5,7 @@
 //! payload a [`Record`] in postcard's form. The same records rebuild the same [`Journal`] at the next start.
 
 use bytes::Bytes;
+use embershore_protocol::notice::End;
 use heronroute::{Health, Micros};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -38,17 +39,6 @@
 /// An attempt: to which endpoint and when.
 pub type Try = (String, Micros);
 
-/// How a message ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum End {
-    /// Delivered, or withdrawn by its client: nothing more is owed.
-    Over,
-    Failed,
-    Returned {
-        after_ms: u64,
-    },
-}
-
 /// What has become of a message.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Progress {
--- /dev/null
+++ b/crates/sender/src/lib.rs
@@ -0,0 +1,20 @@
+//! # embershore
+//!
+//! The sender and its command line. [`daemon::run`] is the sender as the platform starts it; [`cli`] reads the
+//! arguments of everything else that the one binary does.
+
+#![warn(missing_docs)]
+#![forbid(unsafe_code)]
+
+mod calls;
+pub mod cli;
+mod clients;
+mod clock;
+mod connection;
+pub mod daemon;
+mod discovery;
+mod driver;
+mod fleet;
+mod input;
+mod journal;
+mod notices;
--- a/sender/src/notices.rs
+++ b/crates/sender/src/notices.rs
@@ -1,12 +1,11 @@
 //! Ends of messages that were not delivered, told to the platform until it confirms them.
 
-use crate::calls::Connection;
-use crate::driver::Input;
-use crate::journal::End;
+use crate::connection::Connection;
+use crate::input::{Input, Notice};
 use bytes::Bytes;
+use embershore_protocol::notice::line;
 use http_body_util::{BodyExt, Full};
 use hyper::Request;
-use serde_json::json;
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -17,14 +16,6 @@
 const RETRY_FIRST: Duration = Duration::from_millis(20);
 const RETRY_MOST: Duration = Duration::from_millis(500);
 
-/// An end that the platform is owed.
-#[derive(Debug)]
-pub struct Notice {
-    pub id: u64,
-    pub request_id: String,
-    pub end: End,
-}
-
 /// Sends notices for ever. The queue holds at most what the journal has room for. When the platform's address
 /// changes, a post in work is repeated at the new one: telling an end twice does no harm.
 pub async fn send(
@@ -35,7 +26,7 @@
     let mut kept: Option<Connection> = None;
     let mut batch = Vec::new();
     while queue.recv_many(&mut batch, BATCH_MOST).await > 0 {
-        let body = Bytes::from(batch.iter().map(line).collect::<String>());
+        let body = Bytes::from(batch.iter().map(|n| line(&n.request_id, n.end)).collect::<String>());
         let mut pause = RETRY_FIRST;
         loop {
             let to = *addr.borrow_and_update();
@@ -68,16 +59,6 @@
     }
 }
 
-fn line(notice: &Notice) -> String {
-    let id = &notice.request_id;
-    let line = match notice.end {
-        End::Returned { after_ms: 0 } => json!({"id": id, "state": "returned"}),
-        End::Returned { after_ms } => json!({"id": id, "state": "returned", "after_ms": after_ms}),
-        End::Failed | End::Over => json!({"id": id, "state": "failed"}),
-    };
-    format!("{line}\n")
-}
-
 async fn post(addr: SocketAddr, kept: Option<Connection>, body: Bytes) -> io::Result<Option<Connection>> {
     let mut connection = match kept.filter(|c| c.addr() == addr).and_then(Connection::if_usable) {
         Some(connection) => connection,
--- a/wirehost/src/lib.rs
+++ b/crates/wirehost/src/lib.rs
@@ -4,8 +4,7 @@
 //! Unknown event names, unknown settings and surplus values are disregarded, and so is an event for an
 //! instance that is not running. Anything else that cannot be read is an error that names the place.
 
-pub mod settings;
-
+use embershore_protocol::settings;
 use heronroute::{
     Action, DestId, Dispatcher, EndpointEntry, EndpointId, Event, Micros, MsgId, Outcome, Report, Status,
 };
