A keyed message that may have run is refused only while its key will be remembered

Need: a rehearsal with senders killed at awkward moments found a keyed message that took effect twice. Its call was out at a kill; 2.9 s later, its window of 3 s nearly over, the sender refused it, which tells the client that handing it in again is harmless; the client did, and the receiver had forgotten the key 3.7 s after the first run. The module refused such a message at any time.

Change: it is refused only within the part of the window in which it would be sent again itself, and fails after that.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -539,12 +539,20 @@
         again && msg.attempts + 1 < self.set.max_attempts
     }
 
-    /// Whether a client may be told that handing it in again does no harm.
+    /// Whether a client may be told that handing it in again does no harm. What comes of it is a new message, of
+    /// which no sender knows that its key is in use: of the time for which the destination remembers the key, enough
+    /// must be left. Found where a refusal late in the window took effect twice.
     fn may_refuse(&self, msg: &Msg) -> bool {
         let class = self.class(msg);
-        class.effect == Effect::Free
-            || (msg.out.is_empty() && msg.may_run.is_none())
-            || (class.effect == Effect::Guarded && class.group == Group::All)
+        let first = msg.may_run.map(|m| m.0).into_iter().chain(msg.out.iter().map(|a| a.sent)).min();
+        match (class.effect, first) {
+            (Effect::Free, _) | (_, None) => true,
+            (Effect::Guarded, Some(first)) => {
+                let left = (class.window as f64 * WINDOW_PART) as Micros;
+                class.group == Group::All && self.now < first + left
+            }
+            (Effect::SingleShot, Some(_)) => false,
+        }
     }
 
     fn finish(&mut self, id: MsgId, out: &mut Vec<Action>) {
