--- a/crates/rehearsal/src/history.rs
+++ b/crates/rehearsal/src/history.rs
@@ -422,6 +422,13 @@
     }
 }
 
+impl Drop for Recorder {
+    /// What was seen before a rehearsal broke off is evidence too.
+    fn drop(&mut self) {
+        _ = self.close();
+    }
+}
+
 fn write(mut out: BufWriter<File>, records: &Receiver<Record>) -> io::Result<()> {
     for record in records {
         serde_json::to_writer(&mut out, &record)?;
--- a/crates/rehearsal/src/judge/cold.rs
+++ b/crates/rehearsal/src/judge/cold.rs
@@ -43,7 +43,7 @@
             let probes =
                 probes.map(|(t, _, sender, _)| Push { t: *t, sender: *sender, weight: 1.0, call: None });
             let mut pushes: Vec<Push> = calls.chain(probes).filter(|p| p.t > back && p.t < next).collect();
-            pushes.sort_by(|a, b| a.t.cmp(&b.t));
+            pushes.sort_by_key(|p| p.t);
             for push in pushes {
                 let t = push.t;
                 if t > back + receiver.warm_up {
--- a/crates/rehearsal/src/judge/mod.rs
+++ b/crates/rehearsal/src/judge/mod.rs
@@ -20,7 +20,7 @@
 use std::fmt;
 
 pub use service::{Penalty, Served, Service};
-pub use table::{Attempt, Call, CallEnd, Message, Table};
+pub use table::{Absence, Attempt, Call, CallEnd, Lane, Message, Outage, Table};
 
 /// What each time limit is longer by on sockets.
 pub const ALLOWANCE: Micros = 50_000;
--- a/crates/rehearsal/src/rig/directory.rs
+++ b/crates/rehearsal/src/rig/directory.rs
@@ -57,6 +57,7 @@
     lag: Cell<Micros>,
     silent: Cell<bool>,
     snapshots: Cell<bool>,
+    deaf: Cell<bool>,
 }
 
 /// All agents.
@@ -95,6 +96,7 @@
                 lag: Cell::new(world.scenario.directory.lag.0),
                 silent: Cell::new(false),
                 snapshots: Cell::new(false),
+                deaf: Cell::new(false),
             });
             tokio::task::spawn_local(agent.clone().listen(world.clone(), listener));
             tokio::task::spawn_local(agent.clone().receive(world.clone()));
@@ -169,6 +171,13 @@
         agents.iter().for_each(|a| a.snapshots.set(false));
     }
 
+    pub async fn deaf(&self, event: &RawEvent, lasting: Duration) {
+        let agents = self.named(event);
+        agents.iter().for_each(|a| a.deaf.set(true));
+        tokio::time::sleep(lasting).await;
+        agents.iter().for_each(|a| a.deaf.set(false));
+    }
+
     /// The version goes back by half, and nothing from before can be followed.
     pub fn back(&self, event: &RawEvent) {
         for agent in self.named(event) {
@@ -334,6 +343,9 @@
         let Ok(body) = Limited::new(request.into_body(), REPORT_MOST).collect().await else {
             return status(400);
         };
+        if self.deaf.get() {
+            return status(503);
+        }
         let body = body.to_bytes();
         let lines = body.split(|b| *b == b'\n').filter(|l| !l.iter().all(u8::is_ascii_whitespace));
         let reports: Result<Vec<Report>, _> = lines.map(serde_json::from_slice).collect();
--- a/crates/rehearsal/src/rig/mod.rs
+++ b/crates/rehearsal/src/rig/mod.rs
@@ -308,6 +308,7 @@
             Deed::DirectoryLag => self.directory.lag(&event, lasting).await,
             Deed::DirectorySilent => self.directory.silent(&event, lasting).await,
             Deed::DirectorySnapshots => self.directory.snapshots(&event, lasting).await,
+            Deed::DirectoryDeaf => self.directory.deaf(&event, lasting).await,
             Deed::DirectoryBack => self.directory.back(&event),
             Deed::Sigterm | Deed::Sigkill | Deed::Sighup | Deed::Sigstop => self.senders.signal(&event).await,
         }
--- /dev/null
+++ b/crates/sender/tests/rehearsal.rs
@@ -0,0 +1,349 @@
+//! The rehearsal kit around real daemons: the hard cases, the command line, control and capture.
+
+use embershore_rehearsal::capture::{Tap, capture};
+use embershore_rehearsal::history::{Ended, Event, Standing};
+use embershore_rehearsal::judge::{Absence, Attempt, Message, Rule, Table, Verdict};
+use embershore_rehearsal::report::{Report, report};
+use embershore_rehearsal::rig::{self, Options, Subject};
+use embershore_rehearsal::scenario::Scenario;
+use embershore_rehearsal::trace;
+use std::io::{BufRead, BufReader, Write};
+use std::net::TcpStream;
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output, Stdio};
+
+const EXECUTABLE: &str = env!("CARGO_BIN_EXE_embershore");
+
+/// Three receivers and the three effects, with short times, so that what takes long is over soon.
+const BASE: &str = r#"
+name = "hard case"
+seed = 11
+[clients]
+retries = 1
+[[class]]
+name = "push"
+share = 0.35
+effect = "keyed"
+window = "3s"
+aim = "1500ms"
+deadline = "5s"
+[[class]]
+name = "sync"
+share = 0.3
+effect = "safe"
+aim = "1s"
+deadline = "4s"
+[[class]]
+name = "pay"
+share = 0.35
+effect = "unsafe"
+aim = "1500ms"
+deadline = "5s"
+worth = 5
+[[kind]]
+name = "partner"
+batch = 10
+[[kind]]
+name = "hook"
+[[receiver]]
+number = 1
+kind = "partner"
+endpoints = 4
+share = 0.5
+capacity = 60
+latency = { median = "40ms", p99 = "150ms" }
+[[receiver]]
+number = 2
+kind = "partner"
+endpoints = 4
+share = 0.3
+capacity = 40
+latency = { median = "60ms", p99 = "200ms" }
+[[receiver]]
+number = 3
+kind = "hook"
+endpoints = 4
+share = 0.2
+capacity = 30
+latency = { median = "50ms", p99 = "200ms" }
+[[sender]]
+name = "n0"
+[[sender]]
+name = "n1"
+zone = "b"
+"#;
+
+fn scenario(length: &str, rate: u32, events: &str) -> Scenario {
+    let text =
+        format!("length = \"{length}\"\n{BASE}\n[[traffic]]\nshape = \"steady\"\nrate = {rate}\n{events}");
+    Scenario::parse("hard case", &text, Path::new(".")).unwrap()
+}
+
+/// Plays it around real daemons; no rule may be broken and the rig must have kept up.
+fn rehearse(scenario: Scenario) -> (Report, Table) {
+    let folder = tempfile::tempdir().unwrap();
+    let (subject, folder_path) = (Subject::Spawn(EXECUTABLE.into()), folder.path().to_path_buf());
+    let options = Options { subject, folder: folder_path, control: None, serve_only: false, stall: None };
+    let (report, table) = report(&rig::run(scenario, &options, |_| {}).unwrap()).unwrap();
+    assert_eq!(report.judgement.void, None);
+    for r in &report.judgement.rules {
+        // What was seen of the first message that it was broken with.
+        let first = r.offences.iter().find_map(|o| table.message(o.message.as_ref()?));
+        let same = first.map(|f| table.messages.iter().filter(|m| m.origin == f.origin).collect::<Vec<_>>());
+        let calls = same.iter().flatten().flat_map(|m| table.attempts(m)).collect::<Vec<_>>();
+        assert_ne!(r.verdict, Verdict::Broken, "{}: {:?}\n{same:#?}\n{calls:#?}", r.rule, r.offences);
+    }
+    (report, table)
+}
+
+fn tested(report: &Report, rule: Rule) -> usize {
+    report.judgement.ruling(rule).unwrap().tested
+}
+
+#[test]
+fn more_than_half_the_endpoints_replaced_while_the_directory_lags() {
+    let events = "
+        [[event]]\nat = \"0s\"\ndo = \"directory-lag\"\nby = \"5s\"\nfor = \"8s\"
+        [[event]]\nat = \"500ms\"\ndo = \"replace\"\nshare = 0.58\nover = \"3s\"\ngone_after = \"7s\"";
+    let (report, table) = rehearse(scenario("14s", 40, events));
+    // 7 of 12 endpoints, at two senders.
+    assert_eq!(tested(&report, Rule::DrainsKept), 14);
+    // They were told as late as was meant, and used until then.
+    let first = table.told.values().flatten().filter(|(_, s)| *s != Standing::Ready);
+    assert!(first.map(|(t, _)| *t).min().unwrap() > 7_000_000);
+    assert!(report.judgement.service.whole.share > 0.95, "{}", report.text());
+}
+
+#[test]
+fn a_payout_answered_after_it_was_given_up_is_counted_and_answered_once() {
+    let events = "[[event]]\nat = \"500ms\"\ndo = \"late\"\nreceiver = 1\nby = \"6s\"\nfor = \"2s\"";
+    let (report, table) = rehearse(scenario("5s", 30, events));
+    assert!(tested(&report, Rule::NoEffectTwice) > 0);
+    let pays: Vec<_> = table.messages.iter().filter(|m| table.is_unsafe(m)).collect();
+    // Given up, and carried out after that all the same.
+    let late: Vec<_> = pays
+        .iter()
+        .filter(|m| m.runs.iter().any(|(ran, _)| m.notices.iter().any(|(told, _)| told < ran)))
+        .collect();
+    assert!(!late.is_empty(), "{}", report.text());
+    for m in &late {
+        assert_eq!(m.runs.len(), 1, "{}", m.id);
+        let may = table.attempts(m).filter(|(.., fate)| *fate != Attempt::NeverRan).count();
+        assert_eq!(may, 1, "{}", m.id);
+        assert_eq!(m.notices.len(), 1, "{}", m.id);
+        assert_eq!(m.notices[0].1, Ended::Failed, "{}", m.id);
+    }
+}
+
+#[test]
+fn a_receiver_that_returns_cold_is_not_pushed_over() {
+    let events = "
+        [[event]]\nat = \"1s\"\ndo = \"down\"\nreceiver = 1\nfor = \"4s\"
+        [[event]]\nat = \"2s\"\ndo = \"shut\"\nreceiver = 2\nfor = \"4s\"";
+    let (report, _) = rehearse(scenario("14s", 60, events));
+    assert_eq!(tested(&report, Rule::ReturnNotPushedOver), 2);
+    assert!(tested(&report, Rule::WaitsHeeded) > 0);
+    assert!(report.receivers.iter().all(|r| !r.fell), "{}", report.text());
+}
+
+/// A sender is killed while it holds messages that were never sent, whose calls are written in part, whole and
+/// without an answer, and whose ends the platform has not confirmed.
+#[test]
+fn a_sender_killed_at_any_point_owes_each_message_one_end() {
+    let events = "
+        [[event]]\nat = \"800ms\"\ndo = \"hang\"\nreceiver = 2\nfor = \"2s\"
+        [[event]]\nat = \"800ms\"\ndo = \"silent\"\nreceiver = 3\nfor = \"2s\"
+        [[event]]\nat = \"1600ms\"\ndo = \"sigkill\"\nsender = \"n0\"
+        [[event]]\nat = \"1700ms\"\ndo = \"sigkill\"\nsender = \"n1\"
+        [[event]]\nat = \"4500ms\"\ndo = \"late\"\nreceiver = 1\nby = \"600ms\"\nfor = \"4s\"
+        [[event]]\nat = \"5s\"\ndo = \"sigkill\"\nsender = \"n0\"
+        [[event]]\nat = \"6900ms\"\ndo = \"directory-deaf\"\nfor = \"900ms\"
+        [[event]]\nat = \"7100ms\"\ndo = \"sigkill\"\nsender = \"n1\"
+        [[event]]\nat = \"7150ms\"\ndo = \"sigkill\"\nsender = \"n0\"";
+    let (report, table) = rehearse(scenario("10s", 60, events));
+    assert!(tested(&report, Rule::NoMessageLost) > 300);
+    let table = &table;
+    let away = |(sender, list): (usize, &Vec<Absence>)| -> Vec<(usize, i64)> {
+        list.iter().map(|a| (sender, a.from)).collect()
+    };
+    let kills: Vec<(usize, i64)> = table.absences.iter().enumerate().flat_map(away).collect();
+    assert_eq!(kills.len(), 5);
+    let held = |sender: usize, at: i64| -> Vec<&Message> {
+        let open =
+            |m: &&Message| table.delivered(m).is_none_or(|t| t > at) && m.notices.iter().all(|n| n.0 > at);
+        let taken = |m: &&Message| m.sender == sender && m.taken().is_some_and(|t| t < at);
+        table.messages.iter().filter(|m| taken(m) && open(m)).collect()
+    };
+    // At some kill there was a message that had not been sent, and at some one whose call was out.
+    let unsent = |m: &Message, at: i64| table.attempts(m).all(|(c, ..)| c.t > at);
+    assert!(kills.iter().any(|(s, at)| held(*s, *at).iter().any(|m| unsent(m, *at))));
+    let out = |m: &Message, at: i64| {
+        table.attempts(m).any(|(c, known, _)| c.t < at && known.is_none_or(|k| k >= at))
+    };
+    assert!(kills.iter().any(|(s, at)| held(*s, *at).iter().any(|m| out(m, *at))));
+    // An unsafe one whose call was out was never sent again, and its end was told after the restart.
+    let mut pays: Vec<(&Message, i64)> = Vec::new();
+    for (sender, at) in &kills {
+        let unsafe_out = held(*sender, *at).into_iter().filter(|m| out(m, *at) && table.is_unsafe(m));
+        pays.extend(unsafe_out.map(|m| (m, *at)));
+    }
+    assert!(!pays.is_empty());
+    for (m, at) in pays {
+        let again = table.attempts(m).filter(|(c, _, _)| c.t > at).count();
+        let delivered = table.attempts(m).any(|(.., fate)| fate == Attempt::Delivered);
+        assert_eq!(again, 0, "{}", m.id);
+        assert!(delivered || m.notices.iter().any(|(t, _)| *t > at), "{}", m.id);
+    }
+}
+
+fn cli(arguments: &[&str]) -> Output {
+    Command::new(EXECUTABLE).arg("rehearse").args(arguments).stdin(Stdio::null()).output().unwrap()
+}
+
+fn text(bytes: &[u8]) -> String {
+    String::from_utf8_lossy(bytes).into_owned()
+}
+
+/// A small evening in a file.
+fn file(folder: &Path, length: &str) -> PathBuf {
+    let path = folder.join("evening.toml");
+    let traffic = "[[traffic]]\nshape = \"steady\"\nrate = 30";
+    std::fs::write(&path, format!("length = \"{length}\"\n{BASE}\n{traffic}\n")).unwrap();
+    path
+}
+
+#[test]
+fn the_command_line_plays_judges_again_and_compares() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = |name: &str| folder.path().join(name).display().to_string();
+    let scenario = file(folder.path(), "2s").display().to_string();
+    let run =
+        cli(&["run", &scenario, "--evidence", &path("a"), "--html", &path("a.html"), "--json", "--quiet"]);
+    assert_eq!(run.status.code(), Some(0), "{}{}", text(&run.stdout), text(&run.stderr));
+    let report: Report = serde_json::from_slice(&run.stdout).unwrap();
+    assert_eq!(report.judgement.ruling(Rule::NoMessageLost).unwrap().verdict, Verdict::Kept);
+    let page = std::fs::read_to_string(path("a.html")).unwrap();
+    assert!(page.contains("<svg") && page.contains("no message lost") && !page.contains("http-equiv"));
+    // The same verdict from the evidence, whichever way it is named.
+    for evidence in [path("a"), path("a/history.jsonl")] {
+        let again = cli(&["judge", &evidence, "--json"]);
+        let again: Report = serde_json::from_slice(&again.stdout).unwrap();
+        assert_eq!(again.judgement, report.judgement);
+    }
+    let compared = cli(&["compare", &path("a"), &path("a")]);
+    assert_eq!(compared.status.code(), Some(0));
+    assert!(text(&compared.stdout).contains("+0.0000"));
+    // Cut off, it proves nothing.
+    let history = std::fs::read_to_string(path("a/history.jsonl")).unwrap();
+    let is_end = |l: &&str| l.contains("\"ev\":\"over\"");
+    let kept: Vec<&str> = history.lines().filter(|l| !is_end(l)).collect();
+    let end = history.lines().find(is_end).unwrap().to_string();
+    std::fs::write(path("cut.jsonl"), kept.join("\n")).unwrap();
+    assert_eq!(cli(&["judge", &path("cut.jsonl")]).status.code(), Some(3));
+    // Had its first word from the directory been that an endpoint drains, later calls there would break the rule.
+    let word = "\"lines\":[[\"r1-0\",\"terminating\"],[\"r1-1\",\"gone\"]]";
+    let told = |l: &str| l.replace("\"lines\":[]", word);
+    let drained: Vec<String> = kept.iter().map(|l| told(l)).chain([end]).collect();
+    std::fs::write(path("drained.jsonl"), drained.join("\n")).unwrap();
+    let broken = cli(&["judge", &path("drained.jsonl")]);
+    assert_eq!(broken.status.code(), Some(1), "{}", text(&broken.stdout));
+}
+
+#[test]
+fn what_is_wrong_is_said_and_nothing_is_started() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("bad.toml").display().to_string();
+    std::fs::write(&path, "name = \"x\"\nlenght = \"2s\"\n").unwrap();
+    for what in ["run", "check"] {
+        let out = cli(&[what, &path]);
+        assert_eq!(out.status.code(), Some(2));
+        assert!(text(&out.stderr).contains("bad.toml:2:1: unknown field `lenght`"), "{}", text(&out.stderr));
+    }
+    assert_eq!(cli(&["judge", &path]).status.code(), Some(2));
+    assert_eq!(cli(&["run", "no-such-scenario"]).status.code(), Some(2));
+    assert_eq!(cli(&["dance"]).status.code(), Some(2));
+    assert_eq!(cli(&["tell", "127.0.0.1:1", "status"]).status.code(), Some(2));
+    let list = cli(&["list"]);
+    assert!(text(&list.stdout).contains("restart-storm"));
+    let shown = cli(&["list", "--show", "calm"]);
+    assert!(text(&shown.stdout).contains("name = \"calm\""));
+    let checked = cli(&["check", "evening-rush"]);
+    assert!(text(&checked.stdout).contains("3 receivers") || text(&checked.stdout).contains("9 receivers"));
+}
+
+#[test]
+fn what_is_told_while_it_runs_is_done() {
+    let folder = tempfile::tempdir().unwrap();
+    let scenario = file(folder.path(), "6s").display().to_string();
+    let evidence = folder.path().join("e").display().to_string();
+    let mut child = Command::new(EXECUTABLE)
+        .args(["rehearse", "run", &scenario, "--evidence", &evidence, "--control", "127.0.0.1:0", "--json"])
+        .stdout(Stdio::null())
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let mut lines = BufReader::new(child.stderr.take().unwrap()).lines().map_while(Result::ok);
+    let address = lines.find_map(|l| l.strip_prefix("control port: ").map(str::to_string)).unwrap();
+    std::thread::spawn(move || lines.for_each(drop));
+    let tell = |words: &str| cli(&[&["tell", &address], &words.split(' ').collect::<Vec<_>>()[..]].concat());
+    // It says where it listens before the senders are ready; what is told before does no harm.
+    let status = tell("status");
+    assert!(text(&status.stdout).contains("offered="), "{}", text(&status.stderr));
+    assert_eq!(tell("shut receiver=1 for=500ms").status.code(), Some(0));
+    let wrong = tell("shut receiver=9 for=500ms");
+    assert_eq!(wrong.status.code(), Some(2));
+    assert!(text(&wrong.stderr).contains("no receiver 9"));
+    assert_eq!(child.wait().unwrap().code(), Some(0));
+    let (_, table) = report(Path::new(&evidence)).unwrap();
+    assert!(table.marks.iter().any(|(_, text)| text.starts_with("shut receiver 1")), "{:?}", table.marks);
+    assert_eq!(table.outages.len(), 1);
+}
+
+#[test]
+fn a_tap_writes_a_trace_that_can_be_replayed() {
+    let folder = tempfile::tempdir().unwrap();
+    let sender = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let to = sender.local_addr().unwrap();
+    let answered = std::thread::spawn(move || {
+        let (stream, _) = sender.accept().unwrap();
+        let mut seen = Vec::new();
+        let mut reader = BufReader::new(stream.try_clone().unwrap());
+        while reader.read_until(b'\n', &mut seen).unwrap() > 0 {
+            if seen.ends_with(b"hello\r\n") {
+                (&stream).write_all(b"+OK\r\n").unwrap();
+            }
+        }
+        seen
+    });
+    let (path, (say, hear)) = (folder.path().join("t.jsonl"), std::sync::mpsc::channel());
+    let (out, listen) = (path.clone(), "127.0.0.1:0".parse().unwrap());
+    let tap = Tap { listen, to, lasting: Some(std::time::Duration::from_millis(1500)) };
+    let tapped = std::thread::spawn(move || capture(&tap, &out, |at| say.send(at).unwrap()).unwrap());
+    let mut client = TcpStream::connect(hear.recv().unwrap()).unwrap();
+    let put = "*5\r\n$7\r\nMSG.PUT\r\n$1\r\n0\r\n$2\r\na1\r\n$33\r\nc=sync,t=acme,d=8000,dest=7,q=123\r\n$5\r\nhello\r\n";
+    // In two pieces, and then something that is no command, which passes all the same.
+    client.write_all(&put.as_bytes()[..20]).unwrap();
+    client.write_all(&put.as_bytes()[20..]).unwrap();
+    let mut line = String::new();
+    BufReader::new(client.try_clone().unwrap()).read_line(&mut line).unwrap();
+    assert_eq!(line, "+OK\r\n");
+    client.write_all(b"what?\r\n").unwrap();
+    drop(client);
+    assert_eq!(tapped.join().unwrap(), 1);
+    assert_eq!(answered.join().unwrap(), [put.as_bytes(), b"what?\r\n"].concat());
+    let trace = trace::read(&path).unwrap();
+    assert_eq!((trace[0].class.as_str(), trace[0].receiver, trace[0].size), ("sync", 7, 5));
+    // Nothing of what it said is kept.
+    assert!(!std::fs::read_to_string(&path).unwrap().contains("hello"));
+}
+
+#[test]
+fn a_history_begins_with_what_the_run_was() {
+    let folder = tempfile::tempdir().unwrap();
+    let (subject, folder_path) = (Subject::Spawn("/no/such/executable".into()), folder.path().to_path_buf());
+    let options = Options { subject, folder: folder_path, control: None, serve_only: false, stall: None };
+    let error = rig::run(scenario("1s", 1, ""), &options, |_| {}).unwrap_err();
+    assert!(error.to_string().contains("/no/such/executable"), "{error}");
+    let records = embershore_rehearsal::history::read(&folder.path().join("history.jsonl"));
+    assert!(records.is_ok_and(|r| matches!(r[0].event, Event::Run { .. })));
+}
