Rehearsal: one table for judge and report, one check of fields, sections know their place

A history was put together twice, once for the judge and once for the report; events and traffic each had their own check of which fields go together; findings in [rules], [network] and [clients] pointed at the file's first line; 'cold' did nothing to a receiver whose routes are apart.

Change: the judge takes the table that the report shows; misplaced() serves both; those sections carry their span; each route becomes cold.

Measured: the tests, with two findings more.

--- a/crates/rehearsal/src/event.rs
+++ b/crates/rehearsal/src/event.rs
@@ -55,7 +55,7 @@
 
 impl Deed {
     /// The fields that it needs, and those that it may have beside them.
-    fn fields(self) -> (&'static [&'static str], &'static [&'static str]) {
+    fn fields(self) -> Fields {
         match self {
             Deed::Silent | Deed::Hang | Deed::Shut | Deed::Down => (&["for"], &["receiver", "endpoints"]),
             Deed::Slow => (&["for", "factor"], &["receiver", "endpoints"]),
@@ -117,6 +117,23 @@
     pub down: Option<Span>,
 }
 
+/// Fields that are needed, and fields that may be given beside them.
+pub(crate) type Fields = (&'static [&'static str], &'static [&'static str]);
+
+/// What is wrong with the fields that are given for something: those that mean nothing, and those that lack.
+pub(crate) fn misplaced(given: &[(&str, bool)], (needs, may): Fields, what: &str) -> Vec<String> {
+    let wrong = given.iter().filter_map(|(name, there)| {
+        if *there && !needs.contains(name) && !may.contains(name) {
+            Some(format!("'{name}' means nothing for {what}; leave it out"))
+        } else if !there && needs.contains(name) {
+            Some(format!("{what} needs '{name}'; say it"))
+        } else {
+            None
+        }
+    });
+    wrong.collect()
+}
+
 /// What is known of the scenario when an event is checked.
 #[derive(Clone, Copy, Debug)]
 pub struct Known<'a> {
@@ -142,14 +159,7 @@
             ("sender", self.sender.is_some()),
             ("down", self.down.is_some()),
         ];
-        let (needs, may) = self.deed.fields();
-        for (name, there) in given {
-            if there && !needs.contains(&name) && !may.contains(&name) {
-                wrong.push(format!("'{name}' means nothing for '{}'; leave it out", self.deed));
-            } else if !there && needs.contains(&name) {
-                wrong.push(format!("'{}' needs '{name}'; say it", self.deed));
-            }
-        }
+        wrong.extend(misplaced(&given, self.deed.fields(), &format!("'{}'", self.deed)));
         if let Some(number) = self.receiver.filter(|n| !known.receivers.contains(n)) {
             wrong.push(format!("there is no receiver {number}; name one of the [[receiver]] tables"));
         }
--- a/crates/rehearsal/src/judge/mod.rs
+++ b/crates/rehearsal/src/judge/mod.rs
@@ -14,7 +14,7 @@
 mod twice;
 mod waits;
 
-use crate::history::{Event, Record};
+use crate::history::Record;
 use crate::span::Micros;
 use serde::{Deserialize, Serialize};
 use std::fmt;
@@ -209,8 +209,12 @@
 /// # Errors
 /// It lacks the record that says what the run was.
 pub fn judge(records: &[Record]) -> Result<Judgement, JudgeError> {
-    let table = Table::new(records).ok_or(JudgeError::NoRun)?;
-    let lateness = lateness(&table, records);
+    Ok(verdict(&Table::new(records).ok_or(JudgeError::NoRun)?))
+}
+
+/// Judges a history that has been put together.
+pub fn verdict(table: &Table) -> Judgement {
+    let lateness = lateness(table);
     let void = if !table.over {
         Some("the history has no end: the rehearsal was cut off".to_string())
     } else if lateness.p99_us > LATE_P99 {
@@ -223,32 +227,28 @@
         None
     };
     let rules = vec![
-        lost::check(&table).ruling(Rule::NoMessageLost, "a message that a sender took on"),
-        twice::check(&table).ruling(Rule::NoEffectTwice, "an attempt that failed, of which it could matter"),
-        drains::check(&table)
+        lost::check(table).ruling(Rule::NoMessageLost, "a message that a sender took on"),
+        twice::check(table).ruling(Rule::NoEffectTwice, "an attempt that failed, of which it could matter"),
+        drains::check(table)
             .ruling(Rule::DrainsKept, "an endpoint of which a sender was told that it drains or is gone"),
-        cold::check(&table)
+        cold::check(table)
             .ruling(Rule::ReturnNotPushedOver, "a return from an outage that a sender had seen"),
-        order::check(&table).ruling(Rule::OrderKept, "a message behind another of its key"),
-        waits::check(&table).ruling(Rule::WaitsHeeded, "a wait that a sender was told"),
+        order::check(table).ruling(Rule::OrderKept, "a message behind another of its key"),
+        waits::check(table).ruling(Rule::WaitsHeeded, "a wait that a sender was told"),
     ];
-    Ok(Judgement { void, rules, service: service::serve(&table), lateness })
+    Judgement { void, rules, service: service::serve(table), lateness }
 }
 
-fn lateness(table: &Table, records: &[Record]) -> Lateness {
+fn lateness(table: &Table) -> Lateness {
     let mut late: Vec<Micros> =
         table.messages.iter().filter(|m| m.again == 0).map(|m| (m.offered - m.due).max(0)).collect();
     late.sort_unstable();
     let at = |share: f64| late.get(((late.len() as f64 * share) as usize).min(late.len().saturating_sub(1)));
-    let stalls = records.iter().filter_map(|r| match r.event {
-        Event::Lag { max_us } => Some(max_us),
-        _ => None,
-    });
     Lateness {
         planned: late.len(),
         p50_us: at(0.5).copied().unwrap_or(0),
         p99_us: at(0.99).copied().unwrap_or(0),
         max_us: late.last().copied().unwrap_or(0),
-        stall_us: stalls.max().unwrap_or(0),
+        stall_us: table.stall,
     }
 }
--- a/crates/rehearsal/src/judge/table.rs
+++ b/crates/rehearsal/src/judge/table.rs
@@ -177,6 +177,8 @@
     pub fell: Vec<(Micros, i64)>,
     /// What happened, for the pictures.
     pub marks: Vec<(Micros, String)>,
+    /// The longest that the rig stood still.
+    pub stall: Micros,
     /// The history has its end.
     pub over: bool,
     /// Its last record's time.
@@ -241,6 +243,7 @@
             outages: BTreeMap::new(),
             fell: Vec::new(),
             marks: Vec::new(),
+            stall: 0,
             over: false,
             end: order.last().map_or(0, |o| o.0),
         };
@@ -257,7 +260,8 @@
             return;
         }
         match event {
-            Event::Run { .. } | Event::Lag { .. } | Event::Partial { .. } => {}
+            Event::Run { .. } | Event::Partial { .. } => {}
+            Event::Lag { max_us } => self.stall = self.stall.max(*max_us),
             Event::Endpoint { endpoint, receiver, zone } => {
                 self.endpoints.insert(endpoint.clone(), (*receiver, zone.clone()));
             }
--- a/crates/rehearsal/src/report.rs
+++ b/crates/rehearsal/src/report.rs
@@ -1,7 +1,7 @@
 //! The report of a rehearsal: what the judge says, with figures by class, receiver and sender, as text and as JSON.
 
 use crate::history::{Record, read};
-use crate::judge::{Attempt, CallEnd, Judgement, Rule, Table, Verdict, judge};
+use crate::judge::{Attempt, CallEnd, Judgement, Rule, Table, Verdict, verdict};
 use crate::span::Micros;
 use hdrhistogram::Histogram;
 use serde::{Deserialize, Serialize};
@@ -117,8 +117,8 @@
 /// # Errors
 /// It can't be judged.
 pub fn of(records: &[Record], evidence: &str) -> Result<(Report, Table), ReportError> {
-    let judgement = judge(records)?;
     let table = Table::new(records).ok_or(crate::judge::JudgeError::NoRun)?;
+    let judgement = verdict(&table);
     let mut first: BTreeMap<&str, Micros> = BTreeMap::new();
     for m in &table.messages {
         first.entry(&m.origin).or_insert(m.offered);
--- a/crates/rehearsal/src/rig/receivers.rs
+++ b/crates/rehearsal/src/rig/receivers.rs
@@ -281,7 +281,13 @@
         let picked = self.picked(event);
         let now = self.world.now();
         if event.deed == Deed::Cold {
-            picked.iter().for_each(|(r, _)| self.back(r, None));
+            for (receiver, endpoints) in &picked {
+                if receiver.apart {
+                    endpoints.iter().for_each(|e| self.back(receiver, Some(e.name.clone())));
+                } else {
+                    self.back(receiver, None);
+                }
+            }
             return;
         }
         let number = self.ills.get();
--- a/crates/rehearsal/src/rig/senders.rs
+++ b/crates/rehearsal/src/rig/senders.rs
@@ -9,7 +9,7 @@
 use nix::sys::signal as unix;
 use nix::unistd::Pid;
 use serde_json::{Value, json};
-use std::cell::{Cell, RefCell};
+use std::cell::Cell;
 use std::fs::File;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -46,7 +46,6 @@
     world: Rc<World>,
     executable: Option<PathBuf>,
     all: Vec<Rc<Process>>,
-    logs: RefCell<Vec<PathBuf>>,
 }
 
 impl Senders {
@@ -78,7 +77,7 @@
             let ended = Notify::new();
             all.push(Rc::new(Process { index, name, addr, folder, _port: port, pid, planned, ended }));
         }
-        Ok(Rc::new(Senders { world, executable, all, logs: RefCell::default() }))
+        Ok(Rc::new(Senders { world, executable, all }))
     }
 
     /// Where clients reach a sender.
@@ -95,7 +94,6 @@
         let path = process.folder.join("log");
         let log = File::options().create(true).append(true).open(&path);
         let log = log.map_err(RigError::io(path.display().to_string()))?;
-        self.logs.borrow_mut().push(path);
         let mut command = Command::new(executable);
         // As the platform starts it: no arguments, and nothing of this process's own settings.
         let mine = |name: &str| name.starts_with("LB_");
--- a/crates/rehearsal/src/scenario.rs
+++ b/crates/rehearsal/src/scenario.rs
@@ -1,7 +1,7 @@
 //! A scenario: the file in which an operator describes an evening. It is read and checked whole before anything
 //! starts, and every finding names line, column and the mend.
 
-use crate::event::{Known, RawEvent};
+use crate::event::{Known, RawEvent, misplaced};
 use crate::facts::{self, Effect, Facts};
 use crate::plan::{Shape, Traffic};
 use crate::span::{Micros, Span};
@@ -392,6 +392,26 @@
     speed: Option<f64>,
 }
 
+/// A table that may be left out, and where it stands.
+#[derive(Deserialize)]
+#[serde(from = "Spanned<T>", bound = "T: Deserialize<'de>")]
+struct Section<T> {
+    span: Range<usize>,
+    value: T,
+}
+
+impl<T> From<Spanned<T>> for Section<T> {
+    fn from(spanned: Spanned<T>) -> Self {
+        Section { span: spanned.span(), value: spanned.into_inner() }
+    }
+}
+
+impl<T: Default> Default for Section<T> {
+    fn default() -> Self {
+        Section { span: 0..0, value: T::default() }
+    }
+}
+
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct Raw {
@@ -402,15 +422,15 @@
     seed: u64,
     length: Spanned<Span>,
     #[serde(default)]
-    rules: RawRules,
+    rules: Section<RawRules>,
     #[serde(default)]
-    network: Network,
+    network: Section<Network>,
     #[serde(default)]
     settings: SenderSettings,
     #[serde(default)]
     directory: Directory,
     #[serde(default)]
-    clients: Clients,
+    clients: Section<Clients>,
     class: Spanned<Vec<RawClass>>,
     #[serde(default)]
     tenant: Vec<RawTenant>,
@@ -580,12 +600,11 @@
 fn build(raw: Raw, c: &mut Checks<'_>, folder: &Path) -> Scenario {
     let length = raw.length.get_ref().0;
     c.whether(length >= 1_000_000, raw.length.span(), "'length' is at least 1s");
-    let whole = 0..0;
-    let r = &raw.rules;
-    c.whether(positive(r.fall_multiple), whole.clone(), "[rules] fall_multiple is above 0");
-    c.whether(r.fall_window.0 > 0, whole.clone(), "[rules] fall_window is above 0s");
-    c.whether(share(r.batch_weight), whole.clone(), "[rules] batch_weight is from 0 to 1");
-    c.whether(r.max_attempts > 0, whole.clone(), "[rules] max_attempts is 1 or more");
+    let (r, at) = (&raw.rules.value, &raw.rules.span);
+    c.whether(positive(r.fall_multiple), at.clone(), "'fall_multiple' is above 0");
+    c.whether(r.fall_window.0 > 0, at.clone(), "'fall_window' is above 0s");
+    c.whether(share(r.batch_weight), at.clone(), "'batch_weight' is from 0 to 1");
+    c.whether(r.max_attempts > 0, at.clone(), "'max_attempts' is 1 or more");
     let rules = facts::Rules {
         drain_grace: r.drain_grace.0,
         fall_multiple: r.fall_multiple,
@@ -594,15 +613,15 @@
         second_copies: r.second_copies,
         batch_weight: r.batch_weight,
     };
-    let zones = &raw.network.zones;
-    c.whether(!zones.is_empty(), whole.clone(), "[network] zones names at least one building");
-    let clients = raw.clients;
+    let zones = &raw.network.value.zones;
+    c.whether(!zones.is_empty(), raw.network.span.clone(), "'zones' names at least one building");
+    let (clients, at) = (raw.clients.value, &raw.clients.span);
     for (what, value) in
         [("honour", clients.honour), ("pipeline", clients.pipeline), ("leave", clients.leave)]
     {
-        c.whether(share(value), whole.clone(), format!("[clients] {what} is from 0 to 1"));
+        c.whether(share(value), at.clone(), format!("'{what}' is from 0 to 1"));
     }
-    c.whether(clients.retries <= 10, whole.clone(), "[clients] retries is 10 at most");
+    c.whether(clients.retries <= 10, at.clone(), "'retries' is 10 at most");
 
     let kind_names: Vec<String> = raw.kind.iter().map(|k| k.get_ref().name.clone()).collect();
     let mut seen = BTreeSet::new();
@@ -653,7 +672,7 @@
             receivers: receiver_facts,
             senders: sender_facts,
         },
-        network: raw.network,
+        network: raw.network.value,
         settings: raw.settings,
         directory: raw.directory,
         clients,
@@ -867,7 +886,7 @@
             "'slots' and 'max_open' are 1 or more",
         );
         c.whether(positive(s.memory_mb) && positive(s.disk_mb) && s.sockets > 0, at, "limits are above 0");
-        let zones = &raw.network.zones;
+        let zones = &raw.network.value.zones;
         let zone = s.zone.as_ref().and_then(|z| zones.iter().position(|n| n == z.get_ref()));
         if let Some(z) = s.zone.as_ref().filter(|_| zone.is_none()) {
             c.at(z.span(), format!("there is no building '{}'; there are {}", z.get_ref(), zones.join(", ")));
@@ -889,7 +908,6 @@
     for spanned in &raw.traffic {
         let (t, at) = (spanned.get_ref(), spanned.span());
         let shape = *t.shape.get_ref();
-        let (needs, may) = shape.fields();
         let given = [
             ("rate", t.rate.is_some()),
             ("to_rate", t.to_rate.is_some()),
@@ -900,12 +918,8 @@
             ("file", t.file.is_some()),
             ("speed", t.speed.is_some()),
         ];
-        for (name, there) in given {
-            if there && !needs.contains(&name) && !may.contains(&name) {
-                c.at(at.clone(), format!("'{name}' means nothing for this shape; leave it out"));
-            } else if !there && needs.contains(&name) {
-                c.at(t.shape.span(), format!("this shape needs '{name}'; say it"));
-            }
+        for wrong in misplaced(&given, shape.fields(), "this shape") {
+            c.at(t.shape.span(), wrong);
         }
         let rates = [t.rate, t.to_rate, t.zipf, t.speed];
         let good = rates.iter().flatten().all(|x| positive(*x) || (*x == 0.0 && t.speed != Some(0.0)));
--- a/crates/rehearsal/tests/scenario.rs
+++ b/crates/rehearsal/tests/scenario.rs
@@ -72,7 +72,9 @@
     refused("name = \"n0\"", "name = \"n 0\"", (22, 8), "letters, digits and hyphens");
     refused("name = \"n0\"", "name = \"n0\"\nzone = \"c\"", (23, 8), "there are a, b");
     refused("shape = \"steady\"", "shape = \"wave\"", (25, 9), "needs 'swing'");
-    refused("rate = 20", "rate = 20\nto_rate = 30", (24, 1), "means nothing for this shape");
+    refused("rate = 20", "rate = 20\nto_rate = 30", (25, 9), "means nothing for this shape");
+    refused("length = \"10s\"", "length = \"10s\"\n[clients]\nhonour = 2", (3, 1), "'honour' is from 0 to 1");
+    refused("length = \"10s\"", "length = \"10s\"\n[rules]\nmax_attempts = 0", (3, 1), "1 or more");
     refused("rate = 20", "rate = 20\nto = \"11s\"", (24, 1), "no later than 'length'");
     refused("rate = 20", "rate = 20\nclass = \"pay\"", (27, 9), "add a [[class]]");
 }
--- a/crates/sender/benches/limit.rs
+++ b/crates/sender/benches/limit.rs
@@ -11,7 +11,7 @@
 use std::rc::Rc;
 
 const SECONDS: u32 = 5;
-const RATES: [u32; 5] = [200, 400, 800, 1600, 3200];
+const RATES: [u32; 6] = [400, 800, 1600, 3200, 6400, 9600];
 
 /// CPU seconds and resident memory in MB of a child of this process that runs the daemon.
 fn child() -> Option<(f64, f64)> {
