Rehearsal tests: a payout is cut off by its sender's death too, and three receivers return cold at once

Change: a sender is killed while its payouts are being carried out late. The test of cold returns has a third receiver and more traffic.

--- a/crates/sender/tests/rehearsal.rs
+++ b/crates/sender/tests/rehearsal.rs
@@ -116,7 +116,10 @@
 
 #[test]
 fn a_payout_answered_after_it_was_given_up_is_counted_and_answered_once() {
-    let events = "[[event]]\nat = \"500ms\"\ndo = \"late\"\nreceiver = 1\nby = \"6s\"\nfor = \"2s\"";
+    // Given up at their deadlines, and by a sender that is killed with most of their time left.
+    let events = "
+        [[event]]\nat = \"500ms\"\ndo = \"late\"\nreceiver = 1\nby = \"6s\"\nfor = \"2s\"
+        [[event]]\nat = \"1200ms\"\ndo = \"sigkill\"\nsender = \"n0\"";
     let (report, table) = rehearse(scenario("5s", 30, events));
     assert!(tested(&report, Rule::NoEffectTwice) > 0);
     let pays: Vec<_> = table.messages.iter().filter(|m| table.is_unsafe(m)).collect();
@@ -139,9 +142,10 @@
 fn a_receiver_that_returns_cold_is_not_pushed_over() {
     let events = "
         [[event]]\nat = \"1s\"\ndo = \"down\"\nreceiver = 1\nfor = \"4s\"
-        [[event]]\nat = \"2s\"\ndo = \"shut\"\nreceiver = 2\nfor = \"4s\"";
-    let (report, _) = rehearse(scenario("14s", 60, events));
-    assert_eq!(tested(&report, Rule::ReturnNotPushedOver), 2);
+        [[event]]\nat = \"2s\"\ndo = \"shut\"\nreceiver = 2\nfor = \"4s\"
+        [[event]]\nat = \"1s\"\ndo = \"down\"\nreceiver = 3\nfor = \"4s\"";
+    let (report, _) = rehearse(scenario("14s", 100, events));
+    assert_eq!(tested(&report, Rule::ReturnNotPushedOver), 3);
     assert!(tested(&report, Rule::WaitsHeeded) > 0);
     assert!(report.receivers.iter().all(|r| !r.fell), "{}", report.text());
 }
