--- a/src/logic.rs
+++ b/src/logic.rs
@@ -539,9 +539,9 @@
         again && msg.attempts + 1 < self.set.max_attempts
     }
 
-    /// Whether a client may be told that handing it in again does no harm. What comes of it is a new message,
-    /// of which no sender knows that its key is in use: of the time for which the destination remembers the key,
-    /// enough must be left. Found where a refusal late in the window took effect twice.
+    /// Whether a client may be told that handing it in again does no harm. What comes of it is a new
+    /// message, of which no sender knows that its key is in use: of the time for which the destination
+    /// remembers it, enough must be left. Found where a refusal late in the window took effect twice.
     fn may_refuse(&self, msg: &Msg) -> bool {
         let class = self.class(msg);
         let first = msg.may_run.map(|m| m.0).into_iter().chain(msg.out.iter().map(|a| a.sent)).min();
