Rehearsal: one word for what is refused, for first hand-ins and for a receiver that resets

The judge and the page each said for themselves what a refused message is, the report and the page each gathered when messages were handed in first, and three places in the stand-in each asked whether it is down or was pushed over.

No behaviour changes.

--- a/crates/rehearsal/src/html.rs
+++ b/crates/rehearsal/src/html.rs
@@ -126,12 +126,10 @@
     let mut ends: BTreeMap<&str, (usize, usize)> = BTreeMap::new();
     for m in &table.messages {
         let end = ends.entry(&m.origin).or_insert((second(m.offered), 3));
-        let refused = matches!(m.reply, Some((_, crate::history::Answered::Busy)))
-            || m.notices.iter().any(|n| n.1 == crate::history::Ended::Returned);
         if table.delivered(m).is_some() {
             end.1 = 1;
         } else if end.1 != 1 {
-            end.1 = if refused { 2 } else { 3 };
+            end.1 = if m.refused() { 2 } else { 3 };
         }
     }
     for (at, which) in ends.into_values().filter(|e| e.0 < seconds) {
@@ -143,10 +141,7 @@
 
 fn latencies(table: &Table, seconds: usize) -> Vec<Line> {
     let colours = [GREEN, AMBER, CRIMSON, SLATE];
-    let mut first: BTreeMap<&str, Micros> = BTreeMap::new();
-    for m in &table.messages {
-        first.entry(&m.origin).or_insert(m.offered);
-    }
+    let first = table.first_offers();
     let class = |(n, c): (usize, &crate::facts::Class)| {
         let mut values = vec![0.0; seconds];
         for m in table.messages.iter().filter(|m| m.class == n) {
--- a/crates/rehearsal/src/judge/service.rs
+++ b/crates/rehearsal/src/judge/service.rs
@@ -4,7 +4,7 @@
 //! less the penalties. A client's retries belong to its first try.
 
 use super::{Attempt, CallEnd, Table};
-use crate::history::{Answered, Ended};
+use crate::history::Ended;
 use crate::span::Micros;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, HashMap};
@@ -183,8 +183,6 @@
             continue;
         }
         let took = table.delivered(m).map(|t| t - e.at);
-        let refused =
-            matches!(m.reply, Some((_, Answered::Busy))) || m.notices.iter().any(|n| n.1 == Ended::Returned);
         match took {
             Some(took) if took <= class.aim => (e.end, e.worth) = (End::InTime, e.asked),
             Some(took) => {
@@ -194,7 +192,7 @@
                 let left = if took > class.deadline { 0.0 } else { 1.0 - late * (1.0 - class.late_share) };
                 (e.end, e.worth) = (End::Late, e.asked * left);
             }
-            None if refused => e.end = End::Refused,
+            None if m.refused() => e.end = End::Refused,
             None => e.end = End::Failed,
         }
     }
--- a/crates/rehearsal/src/judge/table.rs
+++ b/crates/rehearsal/src/judge/table.rs
@@ -120,6 +120,11 @@
         self.reply.filter(|(_, a)| *a == Answered::Taken).map(|(t, _)| t)
     }
 
+    /// It was refused: at once, or after it had been taken on.
+    pub fn refused(&self) -> bool {
+        matches!(self.reply, Some((_, Answered::Busy))) || self.notices.iter().any(|n| n.1 == Ended::Returned)
+    }
+
     /// Its client heard nothing of it, so that what becomes of it under this id counts for nothing.
     pub fn disowned(&self) -> bool {
         matches!(
@@ -413,6 +418,15 @@
         self.messages.get(*self.by_id.get(id)?)
     }
 
+    /// When each message was handed in first, by the id that it had then.
+    pub fn first_offers(&self) -> BTreeMap<&str, Micros> {
+        let mut first = BTreeMap::new();
+        for m in &self.messages {
+            first.entry(m.origin.as_str()).or_insert(m.offered);
+        }
+        first
+    }
+
     /// The class of a message; nothing for an index that the run does not have.
     pub fn class(&self, message: &Message) -> Option<&Class> {
         self.facts.classes.get(message.class)
--- a/crates/rehearsal/src/report.rs
+++ b/crates/rehearsal/src/report.rs
@@ -119,10 +119,7 @@
 pub fn of(records: &[Record], evidence: &str) -> Result<(Report, Table), ReportError> {
     let table = Table::new(records).ok_or(crate::judge::JudgeError::NoRun)?;
     let judgement = verdict(&table);
-    let mut first: BTreeMap<&str, Micros> = BTreeMap::new();
-    for m in &table.messages {
-        first.entry(&m.origin).or_insert(m.offered);
-    }
+    let first = table.first_offers();
     let took = |class: Option<usize>| {
         let of_class = table.messages.iter().filter(move |m| class.is_none_or(|c| m.class == c));
         let first = &first;
--- a/crates/rehearsal/src/rig/directory.rs
+++ b/crates/rehearsal/src/rig/directory.rs
@@ -4,7 +4,7 @@
 use super::World;
 use crate::event::RawEvent;
 use crate::history::{Ended, Event, Standing};
-use crate::span::{Micros, duration};
+use crate::span::Micros;
 use bytes::Bytes;
 use embershore_protocol::listing::{Line, Listing};
 use http_body_util::channel::Channel;
@@ -364,8 +364,3 @@
         status(204)
     }
 }
-
-/// So long after a change is decided, an endpoint that drains is gone.
-pub fn gone_after(event: &RawEvent, warm: Micros) -> Duration {
-    duration(event.gone_after.map_or(warm, |s| s.0))
-}
--- a/crates/rehearsal/src/rig/receivers.rs
+++ b/crates/rehearsal/src/rig/receivers.rs
@@ -2,7 +2,7 @@
 //! told to. For each sender an endpoint listens on an address of its own, so that every connection says whose it is.
 
 use super::World;
-use super::directory::{Change, Directory, gone_after};
+use super::directory::{Change, Directory};
 use crate::event::{Deed, RawEvent};
 use crate::history::{By, Event, Item};
 use crate::judge::ALLOWANCE;
@@ -235,7 +235,7 @@
                 continue;
             };
             _ = stream.set_nodelay(true);
-            if endpoint.ill(Deed::Down).is_some() || receiver.fell(&endpoint) {
+            if receiver.resets(&endpoint) {
                 self.world.note(Event::Refused { sender, endpoint: endpoint.name.clone() });
                 // With nothing to linger for, closing resets the connection.
                 _ = stream.set_zero_linger();
@@ -365,7 +365,8 @@
                 changes.push(self.line(receiver, endpoint, "Terminating"));
             }
             self.directory.publish(&changes);
-            let (receivers, wave, after) = (self.clone(), wave.to_vec(), gone_after(event, GONE_AFTER));
+            let (receivers, wave, after) =
+                (self.clone(), wave.to_vec(), duration(event.gone_after.map_or(GONE_AFTER, |s| s.0)));
             tokio::task::spawn_local(async move {
                 tokio::time::sleep(after).await;
                 receivers.go(&wave);
@@ -395,6 +396,11 @@
         self.lanes.borrow().get(&self.lane(endpoint)).is_some_and(|l| l.fell)
     }
 
+    /// It takes nothing: it is down, or was pushed over.
+    fn resets(&self, endpoint: &Endpoint) -> bool {
+        endpoint.ill(Deed::Down).is_some() || self.fell(endpoint)
+    }
+
     /// Every endpoint that does not drain is out.
     fn all_out(&self) -> bool {
         let endpoints = self.endpoints.borrow();
@@ -571,7 +577,7 @@
             world.note(Event::Probe { sender, endpoint, status: 0 });
             return std::future::pending().await;
         }
-        if ill(Deed::Down) || self.receiver.fell(&self.endpoint) {
+        if self.receiver.resets(&self.endpoint) {
             world.note(Event::Probe { sender, endpoint, status: 0 });
             return Err(Broken);
         }
@@ -620,7 +626,7 @@
         }
         let weight = world.scenario.facts.rules.weight(items.len());
         self.receiver.arrive(world, endpoint, t, weight);
-        if endpoint.ill(Deed::Down).is_some() || self.receiver.fell(endpoint) {
+        if self.receiver.resets(endpoint) {
             return broken();
         }
         if let Some(ill) = endpoint.ill(Deed::Shut) {
