--- a/crates/rehearsal/src/event.rs
+++ b/crates/rehearsal/src/event.rs
@@ -68,9 +68,9 @@
             Deed::DirectoryLag => (&["for", "by"], &["sender"]),
             Deed::DirectorySilent | Deed::DirectorySnapshots | Deed::DirectoryDeaf => (&["for"], &["sender"]),
             Deed::DirectoryBack => (&[], &["sender"]),
-            Deed::Sigterm | Deed::Sigkill => (&["sender"], &["down"]),
-            Deed::Sighup => (&["sender"], &[]),
-            Deed::Sigstop => (&["sender", "for"], &[]),
+            Deed::Sigterm | Deed::Sigkill => (&[], &["sender", "down"]),
+            Deed::Sighup => (&[], &["sender"]),
+            Deed::Sigstop => (&["for"], &["sender"]),
         }
     }
 }
--- a/crates/rehearsal/src/html.rs
+++ b/crates/rehearsal/src/html/mod.rs
@@ -1,5 +1,7 @@
 //! The report as one HTML page that needs nothing beside it: the text's figures, and pictures as SVG.
 
+mod returns;
+
 use crate::judge::{CallEnd, Table, Verdict};
 use crate::report::Report;
 use crate::span::Micros;
@@ -12,10 +14,10 @@
 /// Marks that are named in a picture; the rest are lines only.
 const MARKS_MOST: usize = 24;
 
-const GREEN: RGBColor = RGBColor(46, 125, 50);
-const AMBER: RGBColor = RGBColor(239, 108, 0);
-const CRIMSON: RGBColor = RGBColor(183, 28, 28);
-const SLATE: RGBColor = RGBColor(55, 71, 79);
+pub(crate) const GREEN: RGBColor = RGBColor(46, 125, 50);
+pub(crate) const AMBER: RGBColor = RGBColor(239, 108, 0);
+pub(crate) const CRIMSON: RGBColor = RGBColor(183, 28, 28);
+pub(crate) const SLATE: RGBColor = RGBColor(55, 71, 79);
 
 /// A line of a picture: its name, its colour, and a value for each second.
 struct Line {
@@ -79,14 +81,16 @@
             let of: Vec<&str> = of.into_iter().flatten().collect();
             format!("<li>{:.3} s {}: {}</li>", o.t as f64 / 1e6, escape(&of.join(" at ")), escape(&o.what))
         }).collect();
+        let margin = r.margin.as_ref().map_or(String::new(), |m| format!("<br>{}", escape(&m.to_string())));
         format!(
-            "<tr><td>{}</td><td class=\"{class}\">{word}</td><td>{} times ({})<ul>{offences}</ul></td></tr>",
+            "<tr><td>{}</td><td class=\"{class}\">{word}</td><td>{} times ({}){margin}<ul>{offences}</ul></td></tr>",
             escape(&r.rule.to_string()), r.tested, escape(&r.test)
         )
     }).collect();
     let void = report.judgement.void.as_ref().map_or(String::new(), |w| {
         format!("<p class=\"broken\">Void: {}. What follows proves nothing.</p>", escape(w))
     });
+    let returns = returns::section(table)?;
     Ok(format!(
         "<!doctype html><html lang=\"en\"><head><meta charset=\"utf-8\"><title>Rehearsal of {name}</title><style>\
          body{{font:15px/1.45 sans-serif;max-width:940px;margin:2em auto;color:#222}}\
@@ -96,7 +100,7 @@
          .legend{{margin:0}}h3{{margin:1.4em 0 .2em}}svg{{max-width:100%;height:auto}}</style></head><body>\
          <h1>Rehearsal of {name}</h1><p>Seed {seed}, {length:.1} s, {messages} messages. \
          Service <b>{figure:.4}</b>.</p>{void}<h2>The six rules</h2><table>{rules}</table>\
-         <h2>Pictures</h2><p>Grey lines are events of the timeline, numbered as below.</p>{pictures}\
+         {returns}<h2>Pictures</h2><p>Grey lines are events of the timeline, numbered as below.</p>{pictures}\
          <h2>Timeline</h2><table>{marks}</table><h2>All figures</h2><pre>{text}</pre></body></html>\n",
         name = escape(&report.scenario),
         seed = report.seed,
@@ -107,7 +111,7 @@
     ))
 }
 
-fn escape(text: &str) -> String {
+pub(crate) fn escape(text: &str) -> String {
     text.replace('&', "&amp;").replace('<', "&lt;").replace('>', "&gt;").replace('"', "&quot;")
 }
 
--- /dev/null
+++ b/crates/rehearsal/src/html/returns.rs
@@ -0,0 +1,117 @@
+//! A picture of each return: what all senders sent a receiver that was back and cold, against what it could take, and
+//! below it which sender sent what.
+
+use super::{AMBER, CRIMSON, GREEN, SLATE, escape};
+use crate::judge::{PushEnd, Return, Table, returns};
+use crate::span::Micros;
+use plotters::prelude::*;
+
+/// Pictures on a page; a run with more names the rest in its figures only.
+const PICTURES_MOST: usize = 24;
+const SIZE: (u32, u32) = (900, 420);
+/// Senders that get a row of their own; the rest share the last.
+const ROWS_MOST: usize = 100;
+/// A picture begins so long before the return ...
+const BEFORE: Micros = 1_000_000;
+/// ... and ends so long after the receiver is warm.
+const AFTER: Micros = 500_000;
+
+/// The section of the page; nothing where nothing returned.
+pub(super) fn section(table: &Table) -> Result<String, String> {
+    let all = returns(table);
+    if all.is_empty() {
+        return Ok(String::new());
+    }
+    let mut out = String::from(
+        "<h2>Returns</h2><p>Above: the load within one fall window, with what pushes the receiver over (red) and 0.85 \
+         of it (dashed). Below: each call and probe by its sender; green was delivered, amber turned away, red failed. \
+         Grey rows are senders that had seen nothing of the outage.</p>",
+    );
+    for (n, r) in all.iter().take(PICTURES_MOST).enumerate() {
+        let name = r.route.clone().unwrap_or_else(|| r.receiver.to_string());
+        let svg = picture(table, r).map_err(|e| format!("return of {name}: {e}"))?;
+        let peak = r.peak().map_or(0.0, |p| p.sent / p.beyond);
+        // The pages after the first are folded up: a run may have many.
+        let open = if n == 0 { " open" } else { "" };
+        let (name, at) = (escape(&name), r.back as f64 / 1e6);
+        out += &format!(
+            "<details{open}><summary>Return {} of {}: receiver {name} at {at:.2} s, {} senders knew, share of fall \
+             {peak:.2}</summary>{svg}</details>",
+            n + 1,
+            all.len(),
+            r.knowing.len()
+        );
+    }
+    if all.len() > PICTURES_MOST {
+        out += &format!("<p>{} more returns have no picture.</p>", all.len() - PICTURES_MOST);
+    }
+    Ok(out)
+}
+
+fn picture(table: &Table, r: &Return) -> Result<String, Box<dyn std::error::Error>> {
+    let warm = table.receiver(r.receiver).map_or(0, |x| x.warm_up);
+    let (from, to) = (-(BEFORE as f64) / 1e6, (warm + AFTER) as f64 / 1e6);
+    let s = |t: Micros| (t - r.back) as f64 / 1e6;
+    let step = (warm / 100).max(1);
+    let limit = |share: f64| -> Vec<(f64, f64)> {
+        let at = |n: Micros| (n * step) as f64 / 1e6;
+        (0..=100).map(|n| (at(n), share * r.beyond(table, n * step))).collect()
+    };
+    let most = limit(1.0).iter().map(|p| p.1).fold(1.0, f64::max);
+    let most = r.loads.iter().map(|l| l.sent).fold(most, f64::max) * 1.05;
+    let rows = table.facts.senders.len().clamp(1, ROWS_MOST);
+    let mut svg = String::new();
+    {
+        let area = SVGBackend::with_string(&mut svg, SIZE).into_drawing_area();
+        area.fill(&WHITE)?;
+        let (upper, lower) = area.split_vertically(230);
+        let mut chart = ChartBuilder::on(&upper)
+            .margin(6)
+            .x_label_area_size(20)
+            .y_label_area_size(52)
+            .build_cartesian_2d(from..to, 0.0..most)?;
+        chart.configure_mesh().light_line_style(RGBColor(240, 240, 240)).y_desc("load").draw()?;
+        chart.draw_series(LineSeries::new(limit(1.0), CRIMSON.stroke_width(2)))?;
+        for dash in limit(0.85).chunks(4).filter_map(|c| c.get(..2)) {
+            chart.draw_series(LineSeries::new(dash.iter().copied(), CRIMSON))?;
+        }
+        // The load stands between calls until the oldest leaves the window; steps are near enough to read it by.
+        let mut line: Vec<(f64, f64)> = Vec::new();
+        for l in &r.loads {
+            line.extend(line.last().map(|(_, y)| (s(l.t), *y)));
+            line.push((s(l.t), l.sent));
+        }
+        chart.draw_series(LineSeries::new(line, SLATE.stroke_width(2)))?;
+        let mut chart = ChartBuilder::on(&lower)
+            .margin(6)
+            .x_label_area_size(28)
+            .y_label_area_size(52)
+            .build_cartesian_2d(from..to, 0.0..rows as f64)?;
+        let mut mesh = chart.configure_mesh();
+        mesh.disable_y_mesh().light_line_style(RGBColor(240, 240, 240)).x_desc("s after the return");
+        mesh.y_desc("sender").draw()?;
+        for sender in (0..rows).filter(|n| !r.knowing.contains(n)) {
+            let row = [(from, sender as f64), (to, sender as f64 + 1.0)];
+            chart.draw_series([Rectangle::new(row, RGBColor(236, 236, 236).filled())])?;
+        }
+        let colour = |end: PushEnd| match end {
+            PushEnd::Delivered => GREEN,
+            PushEnd::TurnedAway => AMBER,
+            PushEnd::Failed => CRIMSON,
+        };
+        let here = |c: &&crate::judge::Call| {
+            c.receiver == Some(r.receiver) && r.route.as_ref().is_none_or(|route| *route == c.endpoint)
+        };
+        let calls = table.calls.values().filter(here);
+        let before =
+            calls.filter(|c| c.t <= r.back && c.t > r.back - BEFORE).map(|c| (c.t, c.sender, CRIMSON));
+        let after = r.pushes.iter().filter(|p| p.t <= r.back + warm + AFTER);
+        let dots = before.chain(after.map(|p| (p.t, p.sender, colour(p.end))));
+        chart.draw_series(dots.map(|(t, sender, colour)| {
+            let y = sender.min(rows - 1) as f64 + 0.5;
+            Circle::new((s(t), y), 2, colour.filled())
+        }))?;
+        area.present()?;
+    }
+    Ok(svg)
+}
--- a/crates/rehearsal/src/judge/drains.rs
+++ b/crates/rehearsal/src/judge/drains.rs
@@ -1,6 +1,6 @@
 //! Rule 3: nothing new goes to an endpoint later than the grace after the sender was told that it drains or is gone.
 
-use super::{ALLOWANCE, Findings, Table};
+use super::{ALLOWANCE, Findings, Margin, Table};
 use crate::history::Standing;
 use crate::span::Micros;
 use std::collections::BTreeMap;
@@ -27,8 +27,15 @@
         spans.extend(since.map(|from| (from, Micros::MAX)));
         found.tested += spans.len();
     }
+    let limit = grace as f64 / 1000.0;
+    let mut margin =
+        Margin::most("latest call after the word that an endpoint drains or is gone", "ms", limit);
     for call in table.calls.values() {
         let Some(spans) = shut.get(&(call.sender, call.endpoint.as_str())) else { continue };
+        let after = spans.iter().find(|(from, until)| call.first > *from && call.first < *until);
+        if let Some((from, _)) = after {
+            margin.meet((call.first - from) as f64 / 1000.0, call.first);
+        }
         let late = spans.iter().find(|(from, until)| call.first > from + grace && call.first < *until);
         if let Some((from, _)) = late {
             let after = (call.first - from) / 1000;
@@ -38,5 +45,6 @@
             found.offence(call.first, call.ids.first().map(String::as_str), Some(&call.endpoint), what);
         }
     }
+    found.margin = margin.met();
     found
 }
--- a/crates/rehearsal/src/judge/lost.rs
+++ b/crates/rehearsal/src/judge/lost.rs
@@ -1,6 +1,6 @@
 //! Rule 1: what a sender took on is its own until the one final answer, also over a restart.
 
-use super::{ALLOWANCE, Findings, Table};
+use super::{ALLOWANCE, Findings, Margin, Table};
 use crate::history::Answered;
 use crate::span::Micros;
 
@@ -16,6 +16,7 @@
         found.offence(*t, None, None, format!("sender {name} ended by itself: {how}"));
     }
     let mut unjudged = 0;
+    let mut margin = Margin::least("shortest time left at an end", "ms", 0.0);
     for m in &table.messages {
         if let Some((t, Answered::Closed)) = m.reply
             && table.away_at(m.sender, t, RESTART_GRACE).is_none()
@@ -39,6 +40,10 @@
         match ended {
             Some(t) => {
                 found.tested += 1;
+                // A restart moves the limit; what ended in its grace is as good as in time.
+                if t <= limit || overdue(t) {
+                    margin.meet((limit - t) as f64 / 1000.0, t);
+                }
                 if overdue(t) {
                     let late = (t - m.deadline) / 1000;
                     found.offence(
@@ -58,6 +63,7 @@
             None => unjudged += 1,
         }
     }
+    found.margin = margin.met();
     if unjudged > 0 {
         found.remarks.push(format!("{unjudged} messages still had time when the run ended"));
     }
--- a/crates/rehearsal/src/judge/mod.rs
+++ b/crates/rehearsal/src/judge/mod.rs
@@ -4,6 +4,7 @@
 //! Records are put in order of time before anything else. Those of one instant are put into an order of their own
 //! (by kind, then by content), so that a verdict does not hang on which of them was written first.
 
+mod returns;
 mod service;
 mod table;
 
@@ -17,8 +18,10 @@
 use crate::history::Record;
 use crate::span::Micros;
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 use std::fmt;
 
+pub use returns::{Load, Push, PushEnd, Return, returns};
 pub use service::{Penalty, Served, Service};
 pub use table::{Absence, Attempt, Call, CallEnd, Lane, Message, Outage, Table};
 
@@ -101,6 +104,57 @@
     Untested,
 }
 
+/// How near a run came to a rule's limit.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Margin {
+    /// What is measured.
+    pub what: String,
+    /// The worst that was seen.
+    pub worst: f64,
+    /// The rule's limit.
+    pub limit: f64,
+    /// `ms`, or nothing for a share.
+    pub unit: String,
+    /// When the worst was seen.
+    pub t: Micros,
+    /// More is worse; else less is.
+    pub upward: bool,
+}
+
+impl Margin {
+    /// One whose worst is the most.
+    fn most(what: &str, unit: &str, limit: f64) -> Margin {
+        let (what, unit) = (what.into(), unit.into());
+        Margin { what, worst: f64::NEG_INFINITY, limit, unit, t: 0, upward: true }
+    }
+
+    /// One whose worst is the least.
+    fn least(what: &str, unit: &str, limit: f64) -> Margin {
+        Margin { worst: f64::INFINITY, upward: false, ..Margin::most(what, unit, limit) }
+    }
+
+    fn meet(&mut self, value: f64, t: Micros) {
+        if if self.upward { value > self.worst } else { value < self.worst } {
+            (self.worst, self.t) = (value, t);
+        }
+    }
+
+    /// It, if anything was met.
+    fn met(self) -> Option<Margin> {
+        self.worst.is_finite().then_some(self)
+    }
+}
+
+impl fmt::Display for Margin {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let figure = |v: f64| if self.unit.is_empty() { format!("{v:.2}") } else { format!("{v:.0}") };
+        let unit = if self.unit.is_empty() { String::new() } else { format!(" {}", self.unit) };
+        let side = if self.upward { "at most" } else { "at least" };
+        let (worst, limit, at) = (figure(self.worst), figure(self.limit), self.t as f64 / 1e6);
+        write!(f, "{}: {worst}{unit}, {side} {limit}{unit} (at {at:.3} s)", self.what)
+    }
+}
+
 /// A rule and what became of it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Ruling {
@@ -116,6 +170,12 @@
     pub broken: usize,
     /// The first offences.
     pub offences: Vec<Offence>,
+    /// How near it came to being broken, where something was put to the test that can be measured.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub margin: Option<Margin>,
+    /// What was seen of each kind.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub counts: BTreeMap<String, usize>,
     /// What a reader should know beside the verdict.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub remarks: Vec<String>,
@@ -126,12 +186,19 @@
 struct Findings {
     tested: usize,
     offences: Vec<Offence>,
+    margin: Option<Margin>,
+    counts: BTreeMap<String, usize>,
     remarks: Vec<String>,
 }
 
 impl Findings {
     fn new() -> Self {
-        Findings { tested: 0, offences: Vec::new(), remarks: Vec::new() }
+        let (offences, remarks, counts) = (Vec::new(), Vec::new(), BTreeMap::new());
+        Findings { tested: 0, offences, margin: None, counts, remarks }
+    }
+
+    fn count(&mut self, what: &str) {
+        *self.counts.entry(what.into()).or_default() += 1;
     }
 
     fn offence(&mut self, t: Micros, message: Option<&str>, endpoint: Option<&str>, what: String) {
@@ -148,8 +215,8 @@
             (0, _) => Verdict::Kept,
             _ => Verdict::Broken,
         };
-        let (tested, offences, remarks) = (self.tested, self.offences, self.remarks);
-        Ruling { rule, verdict, tested, test: test.into(), broken, offences, remarks }
+        let Findings { tested, offences, margin, counts, remarks } = self;
+        Ruling { rule, verdict, tested, test: test.into(), broken, offences, margin, counts, remarks }
     }
 }
 
@@ -176,6 +243,9 @@
     pub void: Option<String>,
     /// The six rules, in their order.
     pub rules: Vec<Ruling>,
+    /// Returns from outages.
+    #[serde(default)]
+    pub returns: Vec<Returned>,
     /// The service.
     pub service: Service,
     /// How late the rig ran.
@@ -194,6 +264,47 @@
     }
 }
 
+/// One return from an outage, in figures.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Returned {
+    /// The receiver's number.
+    pub receiver: i64,
+    /// The route, where routes are apart.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub route: Option<String>,
+    /// When it came back.
+    pub back: Micros,
+    /// Senders that had seen it fail.
+    pub knowing: usize,
+    /// Calls and probes that came until it was warm.
+    pub pushes: usize,
+    /// The highest share reached of the load that pushes it over.
+    pub peak: f64,
+    /// How long after the return.
+    pub peak_after: Micros,
+    /// From the return until half of the usual was delivered within a second.
+    pub half: Option<Micros>,
+    /// The same for nine tenths.
+    pub full: Option<Micros>,
+}
+
+impl Returned {
+    fn of(r: &Return) -> Returned {
+        let peak = r.peak();
+        Returned {
+            receiver: r.receiver,
+            route: r.route.clone(),
+            back: r.back,
+            knowing: r.knowing.len(),
+            pushes: r.loads.len(),
+            peak: peak.map_or(0.0, |p| p.sent / p.beyond),
+            peak_after: peak.map_or(0, |p| p.t - r.back),
+            half: r.half,
+            full: r.full,
+        }
+    }
+}
+
 /// Why a history can't be judged.
 #[derive(Debug, PartialEq, Eq, thiserror::Error)]
 pub enum JudgeError {
@@ -226,17 +337,19 @@
     } else {
         None
     };
+    let returns = returns(table);
     let rules = vec![
         lost::check(table).ruling(Rule::NoMessageLost, "a message that a sender took on"),
         twice::check(table).ruling(Rule::NoEffectTwice, "an attempt that failed, of which it could matter"),
         drains::check(table)
             .ruling(Rule::DrainsKept, "an endpoint of which a sender was told that it drains or is gone"),
-        cold::check(table)
+        cold::check(table, &returns)
             .ruling(Rule::ReturnNotPushedOver, "a return from an outage that a sender had seen"),
         order::check(table).ruling(Rule::OrderKept, "a message behind another of its key"),
         waits::check(table).ruling(Rule::WaitsHeeded, "a wait that a sender was told"),
     ];
-    Judgement { void, rules, service: service::serve(table), lateness }
+    let returns = returns.iter().map(Returned::of).collect();
+    Judgement { void, rules, returns, service: service::serve(table), lateness }
 }
 
 fn lateness(table: &Table) -> Lateness {
--- a/crates/rehearsal/src/judge/order.rs
+++ b/crates/rehearsal/src/judge/order.rs
@@ -1,7 +1,7 @@
 //! Rule 5: within a class that keeps order, messages sharing a key go singly and in the order in which the sender
 //! accepted them; after an attempt that may still run, the key rests a while.
 
-use super::{ALLOWANCE, Attempt, CallEnd, Findings, Message, Table};
+use super::{ALLOWANCE, Attempt, CallEnd, Findings, Margin, Message, Table};
 use crate::span::Micros;
 use std::collections::BTreeMap;
 
@@ -21,6 +21,8 @@
             keys.entry((m.sender, m.class, order)).or_default().push(m);
         }
     }
+    let what = "shortest time from a message's end to the next of its key";
+    let mut margin = Margin::least(what, "ms", 0.0);
     for list in keys.values() {
         for later in list {
             let Some((first, ..)) = table.attempts(later).next() else { continue };
@@ -30,6 +32,9 @@
             let mut tested = false;
             for before in earlier {
                 tested = true;
+                if let Some(t) = over(table, before) {
+                    margin.meet((first.t - t) as f64 / 1000.0, first.t);
+                }
                 let unfinished = over(table, before).is_none_or(|t| t > first.t);
                 if unfinished {
                     let what = format!(
@@ -44,6 +49,7 @@
             found.tested += usize::from(tested);
         }
     }
+    found.margin = margin.met();
     found
 }
 
--- /dev/null
+++ b/crates/rehearsal/src/judge/returns.rs
@@ -0,0 +1,237 @@
+//! Returns from outages: what came to a receiver that was back and cold, against what it could take at that moment.
+//! The rule, the report and the pictures read the same.
+
+use super::{Attempt, Call, Table};
+use crate::facts::Receiver;
+use crate::span::Micros;
+use std::collections::{BTreeSet, VecDeque};
+
+/// What was usual before an outage is counted over this long.
+const USUAL_OVER: Micros = 5_000_000;
+/// The load is back once this long shows it.
+const BACK_OVER: Micros = 1_000_000;
+
+/// How a call or a probe that reached a returning receiver ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PushEnd {
+    /// All or some of it was delivered.
+    Delivered,
+    /// It was turned away.
+    TurnedAway,
+    /// It failed, or has no known end.
+    Failed,
+}
+
+/// A call or a probe that reached a returning receiver; those that it turned away push too.
+#[derive(Clone, Copy, Debug)]
+pub struct Push {
+    /// When.
+    pub t: Micros,
+    /// From which sender, by index.
+    pub sender: usize,
+    /// What it weighs, in calls of one message.
+    pub weight: f64,
+    /// The call's number; nothing for a probe.
+    pub call: Option<u64>,
+    /// How it ended.
+    pub end: PushEnd,
+}
+
+/// The load within one fall window, and what would have pushed the receiver over.
+#[derive(Clone, Copy, Debug)]
+pub struct Load {
+    /// When the window ended.
+    pub t: Micros,
+    /// What came within it.
+    pub sent: f64,
+    /// What pushes it over at that moment.
+    pub beyond: f64,
+    /// The part of it that came from senders that had seen the outage.
+    pub knowing: f64,
+    /// The place in [`Return::pushes`] of the last that came.
+    pub push: usize,
+}
+
+/// One return of a receiver, or of a route of it.
+#[derive(Clone, Debug)]
+pub struct Return {
+    /// The receiver's number.
+    pub receiver: i64,
+    /// The route, where routes are apart.
+    pub route: Option<String>,
+    /// When it went out.
+    pub out: Micros,
+    /// When it came back.
+    pub back: Micros,
+    /// Until when it is judged: it is warm, or goes out again.
+    pub until: Micros,
+    /// Senders that had seen a call or probe fail, or be refused, during the outage.
+    pub knowing: BTreeSet<usize>,
+    /// What came, in order of time.
+    pub pushes: Vec<Push>,
+    /// The load after each of them.
+    pub loads: Vec<Load>,
+    /// From the return until as much was delivered within a second as half of the usual.
+    pub half: Option<Micros>,
+    /// The same for nine tenths of it.
+    pub full: Option<Micros>,
+}
+
+impl Return {
+    /// The load that came nearest to what pushes the receiver over.
+    pub fn peak(&self) -> Option<Load> {
+        self.loads.iter().copied().max_by(|a, b| (a.sent / a.beyond).total_cmp(&(b.sent / b.beyond)))
+    }
+
+    /// What pushes the receiver over so long after its return.
+    pub fn beyond(&self, table: &Table, since: Micros) -> f64 {
+        let capacity = table.receiver(self.receiver).map_or(0.0, |r| r.capacity_after(since));
+        table.facts.rules.fall_beyond(capacity * self.part(table))
+    }
+
+    /// A route has its part of the receiver's capacity.
+    fn part(&self, table: &Table) -> f64 {
+        let routes = table.endpoints.values().filter(|e| e.0 == self.receiver).count().max(1);
+        if self.route.is_some() { 1.0 / routes as f64 } else { 1.0 }
+    }
+}
+
+/// All returns of a run, in order of receiver and time.
+pub fn returns(table: &Table) -> Vec<Return> {
+    let mut all = Vec::new();
+    for ((number, route), outages) in &table.outages {
+        let Some(receiver) = table.receiver(*number) else { continue };
+        let lane = (*number, route.clone());
+        let here = |endpoint: &str| table.lane(endpoint).is_some_and(|l| l == lane);
+        let calls: Vec<(u64, &Call)> =
+            table.calls.iter().filter(|(_, c)| here(&c.endpoint)).map(|(n, c)| (*n, c)).collect();
+        for (n, (out, until)) in outages.iter().enumerate() {
+            let Some(back) = *until else { continue };
+            let next = outages.get(n + 1).map_or(Micros::MAX, |(t, _)| *t);
+            let mut r = Return {
+                receiver: *number,
+                route: route.clone(),
+                out: *out,
+                back,
+                until: next.min(back + receiver.warm_up),
+                knowing: knowing(table, &calls, &here, *out, back),
+                pushes: pushes(table, &calls, &here, back, next),
+                loads: Vec::new(),
+                half: None,
+                full: None,
+            };
+            r.loads = loads(table, receiver, &r);
+            (r.half, r.full) = regained(&calls, *out, back, next);
+            all.push(r);
+        }
+    }
+    all
+}
+
+fn pushes(
+    table: &Table,
+    calls: &[(u64, &Call)],
+    here: &impl Fn(&str) -> bool,
+    back: Micros,
+    next: Micros,
+) -> Vec<Push> {
+    let of_call = |(number, c): &(u64, &Call)| {
+        let fates: Vec<Attempt> = (0..c.ids.len()).map(|place| c.attempt(place).1).collect();
+        let end = if fates.contains(&Attempt::Delivered) {
+            PushEnd::Delivered
+        } else if fates.contains(&Attempt::MayHaveRun) {
+            PushEnd::Failed
+        } else {
+            PushEnd::TurnedAway
+        };
+        let weight = table.facts.rules.weight(c.ids.len());
+        Push { t: c.t, sender: c.sender, weight, call: Some(*number), end }
+    };
+    let probes = table.probes.iter().filter(|(_, endpoint, ..)| here(endpoint));
+    let of_probe = |(t, _, sender, status): &(Micros, String, usize, u16)| Push {
+        t: *t,
+        sender: *sender,
+        weight: 1.0,
+        call: None,
+        end: if *status == 200 { PushEnd::Delivered } else { PushEnd::TurnedAway },
+    };
+    let all = calls.iter().map(of_call).chain(probes.map(of_probe));
+    let mut pushes: Vec<Push> = all.filter(|p| p.t > back && p.t < next).collect();
+    pushes.sort_by_key(|p| p.t);
+    pushes
+}
+
+fn loads(table: &Table, receiver: &Receiver, r: &Return) -> Vec<Load> {
+    let window = table.facts.rules.fall_window;
+    let mut within: VecDeque<&Push> = VecDeque::new();
+    let mut loads = Vec::new();
+    for (place, push) in r.pushes.iter().enumerate() {
+        let t = push.t;
+        if t > r.back + receiver.warm_up {
+            break;
+        }
+        within.push_back(push);
+        while within.front().is_some_and(|p| p.t <= t - window) {
+            within.pop_front();
+        }
+        let sent: f64 = within.iter().map(|p| p.weight).sum();
+        let known = within.iter().filter(|p| r.knowing.contains(&p.sender));
+        let knowing: f64 = known.map(|p| p.weight).sum();
+        loads.push(Load { t, sent, beyond: r.beyond(table, t - r.back), knowing, push: place });
+    }
+    loads
+}
+
+/// Senders that had seen a call or probe fail, or be refused, during the outage.
+fn knowing(
+    table: &Table,
+    calls: &[(u64, &Call)],
+    here: &impl Fn(&str) -> bool,
+    out: Micros,
+    back: Micros,
+) -> BTreeSet<usize> {
+    let within = |t: Micros| t >= out && t <= back;
+    let mut senders = BTreeSet::new();
+    for (_, call) in calls.iter().filter(|(_, c)| c.t <= back) {
+        let failed = (0..call.ids.len()).any(|place| match call.attempt(place) {
+            (Some(known), fate) => within(known) && fate != Attempt::Delivered,
+            (None, _) => false,
+        });
+        if failed {
+            senders.insert(call.sender);
+        }
+    }
+    let refused = table.refused.iter().filter(|(t, endpoint, _)| within(*t) && here(endpoint));
+    senders.extend(refused.map(|(.., sender)| *sender));
+    let probes = table.probes.iter().filter(|(t, endpoint, ..)| within(*t) && here(endpoint));
+    senders.extend(probes.filter(|(.., status)| *status != 200).map(|(_, _, sender, _)| *sender));
+    senders
+}
+
+/// How long after the return half of the usual, and nine tenths, were delivered within a second.
+fn regained(
+    calls: &[(u64, &Call)],
+    out: Micros,
+    back: Micros,
+    next: Micros,
+) -> (Option<Micros>, Option<Micros>) {
+    let mut delivered: Vec<Micros> = Vec::new();
+    for (_, call) in calls {
+        let ends = (0..call.ids.len()).map(|place| call.attempt(place));
+        delivered.extend(ends.filter(|(_, fate)| *fate == Attempt::Delivered).filter_map(|(t, _)| t));
+    }
+    delivered.sort_unstable();
+    let between = |from: Micros, to: Micros| {
+        delivered.partition_point(|t| *t < to) - delivered.partition_point(|t| *t < from)
+    };
+    let since = out - USUAL_OVER.min(out);
+    let usual = between(since, out) as f64 * BACK_OVER as f64 / (out - since).max(1) as f64;
+    let when = |share: f64| {
+        let need = ((usual * share).ceil() as usize).max(1);
+        let after = &delivered[delivered.partition_point(|t| *t <= back)..];
+        let after = after.iter().take_while(|t| **t < next);
+        let reached = after.copied().find(|t| between((t - BACK_OVER).max(back) + 1, t + 1) >= need);
+        reached.map(|t| t - back)
+    };
+    if usual > 0.0 { (when(0.5), when(0.9)) } else { (None, None) }
+}
--- a/crates/rehearsal/src/judge/twice.rs
+++ b/crates/rehearsal/src/judge/twice.rs
@@ -1,6 +1,6 @@
 //! Rule 2: no effect happens twice. Judged by what was sent and by what the receivers' ledger counted.
 
-use super::{ALLOWANCE, Attempt, Findings, Message, Table};
+use super::{ALLOWANCE, Attempt, Findings, Margin, Message, Table};
 use crate::facts::Effect;
 use crate::history::{Answered, Ended};
 use crate::span::Micros;
@@ -8,16 +8,18 @@
 
 pub(super) fn check(table: &Table) -> Findings {
     let mut found = Findings::new();
+    let mut margin = Margin::least("shortest part of a window left at a resend", "ms", 0.0);
     for m in &table.messages {
-        attempts(table, m, &mut found);
+        attempts(table, m, &mut found, &mut margin);
         ends(table, m, &mut found);
     }
     ledger(table, &mut found);
+    found.margin = margin.met();
     found
 }
 
 /// What was sent again, and when.
-fn attempts(table: &Table, m: &Message, found: &mut Findings) {
+fn attempts(table: &Table, m: &Message, found: &mut Findings, margin: &mut Margin) {
     let Some(class) = table.class(m) else { return };
     // The first attempt that may have run, and when it began.
     let mut may_have_run: Option<Micros> = None;
@@ -30,6 +32,18 @@
             let what = "it was sent while an earlier attempt was still out".to_string();
             found.offence(call.t, Some(&m.id), endpoint, what);
         }
+        if let (Effect::Keyed, Some(first)) = (class.effect, may_have_run) {
+            margin.meet((first + class.window + ALLOWANCE - call.t) as f64 / 1000.0, call.t);
+        }
+        if n > 0 {
+            found.count(match (class.effect, may_have_run) {
+                (Effect::Unsafe, None) => "unsafe, sent again since nothing had run",
+                (Effect::Unsafe, Some(_)) => "unsafe, sent again though it may have run",
+                (Effect::Keyed, None) => "keyed, sent again since nothing had run",
+                (Effect::Keyed, Some(_)) => "keyed, sent again within its window or past it",
+                (Effect::Safe, _) => "safe to repeat, sent again",
+            });
+        }
         match (class.effect, may_have_run) {
             (Effect::Unsafe, Some(first)) if !out => {
                 let ago = (call.t - first) / 1000;
--- a/crates/rehearsal/src/judge/waits.rs
+++ b/crates/rehearsal/src/judge/waits.rs
@@ -1,7 +1,7 @@
 //! Rule 6: once told to wait, a sender sends that receiver (or route) nothing, for any message, until the wait ends.
 
 use super::table::Lane;
-use super::{CallEnd, Findings, Table};
+use super::{CallEnd, Findings, Margin, Table};
 use crate::span::Micros;
 use std::collections::BTreeMap;
 
@@ -21,6 +21,7 @@
             waits.entry((call.sender, lane)).or_default().push((*t, t + wait));
         }
     }
+    let mut margin = Margin::least("earliest call after a wait's end", "ms", 0.0);
     for call in table.calls.values() {
         let Some(lane) = table.lane(&call.endpoint) else { continue };
         let Some(told) = waits.get(&(call.sender, lane)) else { continue };
@@ -29,6 +30,11 @@
             let absences = table.absences.get(call.sender).into_iter().flatten();
             absences.into_iter().any(|a| a.restarted && a.ready.is_some_and(|r| r > from && r <= call.t))
         };
+        let heeded =
+            told.iter().filter(|(from, until)| call.t > from + CROSSING && !restarted(*from) && until > from);
+        if let Some((_, until)) = heeded.max_by_key(|(_, until)| *until) {
+            margin.meet((call.t - until) as f64 / 1000.0, call.t);
+        }
         let unheeded = told
             .iter()
             .find(|(from, until)| call.t > from + CROSSING && call.t < *until && !restarted(*from));
@@ -38,5 +44,6 @@
             found.offence(call.t, call.ids.first().map(String::as_str), Some(&call.endpoint), what);
         }
     }
+    found.margin = margin.met();
     found
 }
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod history;
 pub mod html;
 pub mod judge;
+pub mod matrix;
 pub mod plan;
 pub mod report;
 pub mod rig;
--- /dev/null
+++ b/crates/rehearsal/src/matrix.rs
@@ -0,0 +1,275 @@
+//! Many runs side by side: scenarios by number of senders by seed, as a table and as a page with pictures. It makes
+//! figures of reports and does no I/O.
+
+use crate::html::{AMBER, CRIMSON, GREEN, SLATE, escape};
+use crate::judge::{Rule, Verdict};
+use crate::report::Report;
+use crate::span::Micros;
+use plotters::prelude::*;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::fmt::Write;
+
+/// Which run.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Cell {
+    /// The scenario's name.
+    pub scenario: String,
+    /// Number of senders.
+    pub senders: usize,
+    /// The seed.
+    pub seed: u64,
+}
+
+impl Cell {
+    /// The name of the folder that its evidence lies in.
+    pub fn folder(&self) -> String {
+        format!("{}-n{}-s{}", self.scenario, self.senders, self.seed)
+    }
+}
+
+/// What came of all runs of a scenario with one number of senders.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Row {
+    /// The scenario's name.
+    pub scenario: String,
+    /// Number of senders.
+    pub senders: usize,
+    /// Runs that count.
+    pub runs: usize,
+    /// Runs on which the rig itself was late.
+    pub void: usize,
+    /// Rules that were broken, with how many runs broke each.
+    pub broken: BTreeMap<String, usize>,
+    /// The service: least, mean and most.
+    pub service: [f64; 3],
+    /// The highest share reached of what pushes a returning receiver over: mean and most.
+    pub share_of_fall: [f64; 2],
+    /// The mean time from a return to half of the usual load, and to nine tenths, in seconds; nothing if never.
+    pub back: [Option<f64>; 2],
+    /// Shares of messages that were late, refused in the end, and failed.
+    pub late_refused_failed: [f64; 3],
+    /// New connections for each message.
+    pub connections: f64,
+    /// Refused calls for each message.
+    pub refused_calls: f64,
+    /// For each rule with a margin that was met, the worst, in its own unit.
+    pub margins: BTreeMap<String, f64>,
+}
+
+/// Makes the table of all runs, in order of scenario and senders.
+pub fn rows(runs: &BTreeMap<Cell, Report>) -> Vec<Row> {
+    let mut groups: BTreeMap<(&str, usize), Vec<&Report>> = BTreeMap::new();
+    for (cell, report) in runs {
+        groups.entry((&cell.scenario, cell.senders)).or_default().push(report);
+    }
+    groups.into_iter().map(|((scenario, senders), all)| row(scenario, senders, &all)).collect()
+}
+
+fn row(scenario: &str, senders: usize, all: &[&Report]) -> Row {
+    let good: Vec<&Report> = all.iter().copied().filter(|r| r.judgement.void.is_none()).collect();
+    let n = good.len().max(1) as f64;
+    let mean = |f: &dyn Fn(&Report) -> f64| good.iter().map(|r| f(r)).sum::<f64>() / n;
+    let service: Vec<f64> = good.iter().map(|r| r.judgement.service.figure).collect();
+    let peak = |r: &Report| r.judgement.returns.iter().map(|x| x.peak).fold(0.0, f64::max);
+    let back = |of: &dyn Fn(&crate::judge::Returned) -> Option<Micros>| {
+        let all: Vec<Option<Micros>> = good.iter().flat_map(|r| r.judgement.returns.iter().map(of)).collect();
+        let known: Option<Vec<Micros>> = all.into_iter().collect();
+        let known = known.filter(|k| !k.is_empty())?;
+        Some(known.iter().sum::<Micros>() as f64 / 1e6 / known.len() as f64)
+    };
+    let share = |f: &dyn Fn(&crate::judge::Served) -> usize| {
+        mean(&|r| f(&r.judgement.service.whole) as f64 / r.judgement.service.whole.messages.max(1) as f64)
+    };
+    let penalty = |name: &str| {
+        mean(&|r| {
+            let s = &r.judgement.service;
+            let count = s.penalties.iter().find(|p| p.name.starts_with(name)).map_or(0.0, |p| p.count);
+            count / s.whole.messages.max(1) as f64
+        })
+    };
+    let (mut broken, mut margins) = (BTreeMap::new(), BTreeMap::new());
+    for ruling in good.iter().flat_map(|r| &r.judgement.rules) {
+        if ruling.verdict == Verdict::Broken {
+            *broken.entry(ruling.rule.to_string()).or_insert(0) += 1;
+        }
+        if let Some(m) = &ruling.margin {
+            let worst = margins.entry(ruling.rule.to_string()).or_insert(m.worst);
+            *worst = if m.upward { worst.max(m.worst) } else { worst.min(m.worst) };
+        }
+    }
+    Row {
+        scenario: scenario.into(),
+        senders,
+        runs: good.len(),
+        void: all.len() - good.len(),
+        broken,
+        service: [
+            service.iter().copied().fold(f64::INFINITY, f64::min),
+            mean(&|r| r.judgement.service.figure),
+            service.iter().copied().fold(0.0, f64::max),
+        ],
+        share_of_fall: [mean(&peak), good.iter().map(|r| peak(r)).fold(0.0, f64::max)],
+        back: [back(&|r| r.half), back(&|r| r.full)],
+        late_refused_failed: [share(&|w| w.late), share(&|w| w.refused), share(&|w| w.failed)],
+        connections: penalty("new connections"),
+        refused_calls: penalty("refused calls"),
+        margins,
+    }
+}
+
+/// The table as text.
+pub fn text(rows: &[Row]) -> String {
+    let mut out = String::new();
+    // Writing to a string can't fail.
+    _ = write_text(&mut out, rows);
+    out
+}
+
+fn write_text(out: &mut String, rows: &[Row]) -> std::fmt::Result {
+    writeln!(
+        out,
+        "{:<20} {:>7} {:>5} {:>5} {:>7} {:>15} {:>12} {:>7} {:>7} {:>6} {:>7} {:>6} {:>6}  broken",
+        "scenario",
+        "senders",
+        "runs",
+        "void",
+        "service",
+        "least to most",
+        "of the fall",
+        "half s",
+        "full s",
+        "late",
+        "refused",
+        "failed",
+        "conns"
+    )?;
+    let seconds = |t: Option<f64>| t.map_or("-".into(), |t| format!("{t:.2}"));
+    for r in rows {
+        let [least, mean, most] = r.service;
+        let [late, refused, failed] = r.late_refused_failed;
+        let broken: Vec<String> = r.broken.iter().map(|(rule, n)| format!("{rule} ({n})")).collect();
+        let spread = if r.runs == 0 { "-".into() } else { format!("{least:.3} to {most:.3}") };
+        writeln!(
+            out,
+            "{:<20} {:>7} {:>5} {:>5} {mean:>7.3} {spread:>15} {:>12} {:>7} {:>7} {late:>6.3} {refused:>7.3} {failed:>6.3} \
+             {:>6.3}  {}",
+            r.scenario,
+            r.senders,
+            r.runs,
+            r.void,
+            format!("{:.2} to {:.2}", r.share_of_fall[0], r.share_of_fall[1]),
+            seconds(r.back[0]),
+            seconds(r.back[1]),
+            r.connections,
+            broken.join(", ")
+        )?;
+    }
+    Ok(())
+}
+
+/// A value of each row, for a picture.
+type Figure = fn(&Row) -> f64;
+
+/// The table and its pictures as one page.
+///
+/// # Errors
+/// A picture can't be drawn; says which and why.
+pub fn page(rows: &[Row]) -> Result<String, String> {
+    let figures: [(&str, Figure); 6] = [
+        ("Service", |r| r.service[1]),
+        ("Highest share reached of what pushes a returning receiver over", |r| r.share_of_fall[1]),
+        ("Refused in the end, share of messages", |r| r.late_refused_failed[1]),
+        ("Failed, share of messages", |r| r.late_refused_failed[2]),
+        ("New connections for each message", |r| r.connections),
+        ("Seconds from a return to nine tenths of the usual load", |r| r.back[1].unwrap_or(0.0)),
+    ];
+    let mut names: Vec<&str> = rows.iter().map(|r| r.scenario.as_str()).collect();
+    names.dedup();
+    let legend: String = names
+        .iter()
+        .enumerate()
+        .map(|(n, name)| {
+            let RGBColor(r, g, b) = colour(n);
+            format!("<span style=\"color:rgb({r},{g},{b})\">&#9632; {}</span> ", escape(name))
+        })
+        .collect();
+    let mut pictures = String::new();
+    for (title, figure) in figures {
+        let svg = picture(rows, &names, figure).map_err(|e| format!("{title}: {e}"))?;
+        pictures += &format!("<h3>{title}</h3><p class=\"legend\">{legend}</p>{svg}");
+    }
+    let margins: String = rows
+        .iter()
+        .map(|r| {
+            let cells: String = Rule::ALL
+                .iter()
+                .map(|rule| match r.margins.get(&rule.to_string()) {
+                    Some(worst) => format!("<td>{worst:.2}</td>"),
+                    None => "<td>-</td>".into(),
+                })
+                .collect();
+            format!("<tr><td>{}</td><td>{}</td>{cells}</tr>", escape(&r.scenario), r.senders)
+        })
+        .collect();
+    let heads: String = Rule::ALL.iter().map(|r| format!("<th>{}</th>", escape(&r.to_string()))).collect();
+    Ok(format!(
+        "<!doctype html><html lang=\"en\"><head><meta charset=\"utf-8\"><title>Rehearsals by number of senders</title>\
+         <style>body{{font:15px/1.45 sans-serif;max-width:1100px;margin:2em auto;color:#222}}\
+         table{{border-collapse:collapse}}td,th{{border:1px solid #ccc;padding:3px 8px;text-align:right}}\
+         pre{{background:#f6f6f6;padding:1em;overflow-x:auto;font-size:12px}}.legend{{margin:0}}\
+         svg{{max-width:100%;height:auto}}</style></head><body><h1>Rehearsals by number of senders</h1>\
+         <p>The same load, and the same slots in all, split among more senders.</p><pre>{}</pre>{pictures}\
+         <h2>Worst margins</h2><p>Shares of the fall for rule 4, milliseconds else.</p>\
+         <table><tr><th>scenario</th><th>senders</th>{heads}</tr>{margins}</table></body></html>\n",
+        escape(&text(rows))
+    ))
+}
+
+fn colour(n: usize) -> RGBColor {
+    const MORE: [RGBColor; 8] = [
+        SLATE,
+        GREEN,
+        AMBER,
+        CRIMSON,
+        RGBColor(21, 101, 192),
+        RGBColor(106, 27, 154),
+        RGBColor(0, 131, 143),
+        RGBColor(121, 85, 72),
+    ];
+    MORE[n % MORE.len()]
+}
+
+fn picture(rows: &[Row], names: &[&str], figure: Figure) -> Result<String, Box<dyn std::error::Error>> {
+    let mut counts: Vec<usize> = rows.iter().map(|r| r.senders).collect();
+    counts.sort_unstable();
+    counts.dedup();
+    let most = rows.iter().map(figure).filter(|v| v.is_finite()).fold(0.05, f64::max) * 1.08;
+    let place = |senders: usize| counts.iter().position(|c| *c == senders).unwrap_or(0) as f64;
+    let mut svg = String::new();
+    {
+        let area = SVGBackend::with_string(&mut svg, (900, 260)).into_drawing_area();
+        area.fill(&WHITE)?;
+        let mut chart = ChartBuilder::on(&area)
+            .margin(8)
+            .x_label_area_size(28)
+            .y_label_area_size(52)
+            .build_cartesian_2d(-0.3..counts.len() as f64 - 0.7, 0.0..most)?;
+        let label = |x: &f64| {
+            let at = x.round();
+            let named = (x - at).abs() < 0.01 && at >= 0.0;
+            counts.get(at as usize).filter(|_| named).map_or(String::new(), ToString::to_string)
+        };
+        let mut mesh = chart.configure_mesh();
+        mesh.light_line_style(RGBColor(240, 240, 240)).x_labels(2 * counts.len() + 1);
+        mesh.x_label_formatter(&label).x_desc("senders").draw()?;
+        for (n, name) in names.iter().enumerate() {
+            let of = rows.iter().filter(|r| r.scenario == *name && r.runs > 0);
+            let points: Vec<(f64, f64)> = of.map(|r| (place(r.senders), figure(r))).collect();
+            chart.draw_series(LineSeries::new(points.iter().copied(), colour(n).stroke_width(2)))?;
+            chart.draw_series(points.iter().map(|p| Circle::new(*p, 3, colour(n).filled())))?;
+        }
+        area.present()?;
+    }
+    Ok(svg)
+}
--- a/crates/rehearsal/src/report.rs
+++ b/crates/rehearsal/src/report.rs
@@ -1,7 +1,7 @@
 //! The report of a rehearsal: what the judge says, with figures by class, receiver and sender, as text and as JSON.
 
 use crate::history::{Record, read};
-use crate::judge::{Attempt, CallEnd, Judgement, Rule, Table, Verdict, verdict};
+use crate::judge::{Attempt, CallEnd, Judgement, Margin, Rule, Table, Verdict, verdict};
 use crate::span::Micros;
 use hdrhistogram::Histogram;
 use serde::{Deserialize, Serialize};
@@ -12,6 +12,9 @@
 /// Latencies are told to three figures, up to a day.
 const DAY: u64 = 24 * 3600 * 1_000_000;
 
+/// Returns that the text names; the JSON has them all.
+const RETURNS_MOST: usize = 30;
+
 /// How long something took, in milliseconds.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Latency {
@@ -228,10 +231,41 @@
                 let endpoint = o.endpoint.as_ref().map_or(String::new(), |e| format!(" endpoint {e}"));
                 writeln!(out, "      {:>9.3} s{message}{endpoint}: {}", o.t as f64 / 1e6, o.what)?;
             }
+            if let Some(margin) = &r.margin {
+                writeln!(out, "      {margin}")?;
+            }
+            for (what, n) in &r.counts {
+                writeln!(out, "      {n} x {what}")?;
+            }
             for remark in &r.remarks {
                 writeln!(out, "      {remark}")?;
             }
         }
+        if !j.returns.is_empty() {
+            writeln!(
+                out,
+                "\n  {:<20} {:>8} {:>6} {:>6} {:>13} {:>9} {:>8} {:>8}",
+                "return", "at s", "knew", "pushes", "share of fall", "after ms", "half s", "full s"
+            )?;
+            let s = |t: Option<Micros>| t.map_or("never".to_string(), |t| format!("{:.2}", t as f64 / 1e6));
+            for r in j.returns.iter().take(RETURNS_MOST) {
+                let name = r.route.clone().unwrap_or_else(|| r.receiver.to_string());
+                writeln!(
+                    out,
+                    "  {name:<20} {:>8.3} {:>6} {:>6} {:>13.2} {:>9} {:>8} {:>8}",
+                    r.back as f64 / 1e6,
+                    r.knowing,
+                    r.pushes,
+                    r.peak,
+                    r.peak_after / 1000,
+                    s(r.half),
+                    s(r.full)
+                )?;
+            }
+            if j.returns.len() > RETURNS_MOST {
+                writeln!(out, "  and {} more", j.returns.len() - RETURNS_MOST)?;
+            }
+        }
         writeln!(out, "\nservice {:.4}", s.figure)?;
         let from = s.worst_window_from as f64 / 1e6;
         let terms = [
@@ -344,6 +378,16 @@
             _ => "not tested".to_string(),
         };
         writeln!(out, "{:<40} {:>12} {:>12}", rule.to_string(), word(x), word(y))?;
+        let margin = |r: &Report| r.judgement.ruling(rule).and_then(|r| r.margin.clone());
+        let (x, y) = (margin(a), margin(b));
+        if let Some(m) = x.as_ref().or(y.as_ref()) {
+            let figure = |m: &Option<Margin>| m.as_ref().map_or("-".into(), |m| format!("{:.2}", m.worst));
+            let unit = if m.unit.is_empty() { "share" } else { &m.unit };
+            let side = if m.upward { "at most" } else { "at least" };
+            writeln!(out, "  {}", m.what)?;
+            let limit = format!("    {unit}, {side} {:.2}", m.limit);
+            writeln!(out, "{limit:<40} {:>12} {:>12}", figure(&x), figure(&y))?;
+        }
     }
     Ok(())
 }
--- a/crates/rehearsal/src/rig/senders.rs
+++ b/crates/rehearsal/src/rig/senders.rs
@@ -150,10 +150,18 @@
         false
     }
 
-    /// Does to a sender what the event says, and starts it again where it ends by it.
+    /// Does to a sender, or to all of them, what the event says, and starts it again where it ends by it.
     pub async fn signal(self: &Rc<Self>, event: &RawEvent) {
-        let named = self.all.iter().find(|p| Some(&p.name) == event.sender.as_ref());
-        let Some(process) = named else { return };
+        let named = self.all.iter().filter(|p| event.sender.as_ref().is_none_or(|name| *name == p.name));
+        let mut tasks = tokio::task::JoinSet::new();
+        for process in named {
+            let (senders, process, event) = (self.clone(), process.clone(), event.clone());
+            tasks.spawn_local(async move { senders.signal_one(&process, &event).await });
+        }
+        while tasks.join_next().await.is_some() {}
+    }
+
+    async fn signal_one(self: &Rc<Self>, process: &Rc<Process>, event: &RawEvent) {
         if self.executable.is_none() {
             let text = format!("{} is not this rehearsal's to signal", process.name);
             self.world.note(Event::Mark { text });
@@ -288,7 +296,7 @@
     let told = &scenario.settings;
     json!({
         "Azs": scenario.network.zones,
-        "Balancers": facts.senders.len(),
+        "Balancers": scenario.settings.told_senders(facts.senders.len()),
         "Zone": scenario.senders[index].zone,
         "QuantumUs": told.quantum.0,
         "Customers": customers.collect::<Vec<_>>(),
--- a/crates/rehearsal/src/scenario.rs
+++ b/crates/rehearsal/src/scenario.rs
@@ -131,6 +131,15 @@
     pub connect_timeout: Span,
     /// Worth of a message beyond its tenant's quota, as a share.
     pub over_share_worth: f64,
+    /// How many senders they are told that there are; as many as there are if not given.
+    pub senders: Option<usize>,
+}
+
+impl SenderSettings {
+    /// How many senders they are told that there are.
+    pub fn told_senders(&self, senders: usize) -> usize {
+        self.senders.unwrap_or(senders)
+    }
 }
 
 impl Default for SenderSettings {
@@ -143,6 +152,7 @@
             idle_close: ms(5000),
             connect_timeout: ms(1500),
             over_share_worth: 0.05,
+            senders: None,
         }
     }
 }
@@ -334,6 +344,9 @@
 #[serde(deny_unknown_fields)]
 struct RawSender {
     name: Spanned<String>,
+    /// So many alike, numbered on from 0 behind the name, each with its part of the share.
+    #[serde(default)]
+    count: Option<usize>,
     #[serde(default = "one")]
     share: f64,
     #[serde(default)]
@@ -499,6 +512,17 @@
     pub disk_mb: f64,
 }
 
+/// A scenario that can't be played with another number of senders.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum SplitError {
+    /// An event is for one of its senders.
+    #[error("an event of the scenario is for sender '{0}' alone; without the name it is for all of them")]
+    Named(String),
+    /// The number is out of range.
+    #[error("a scenario has 1 to {SENDERS_MOST} senders")]
+    Number,
+}
+
 /// A scenario that has been checked.
 #[derive(Clone, Debug)]
 pub struct Scenario {
@@ -530,6 +554,39 @@
     pub events: Vec<(Micros, RawEvent)>,
 }
 
+impl Scenario {
+    /// Plays the same with another number of senders, all alike: the same load, and the same slots, room and limits
+    /// in all.
+    ///
+    /// # Errors
+    /// The number is out of range, or an event is for one sender alone.
+    pub fn split(&mut self, senders: usize) -> Result<(), SplitError> {
+        if !(1..=SENDERS_MOST).contains(&senders) {
+            return Err(SplitError::Number);
+        }
+        if let Some(name) = self.events.iter().find_map(|(_, e)| e.sender.clone()) {
+            return Err(SplitError::Named(name));
+        }
+        let slots: u32 = self.facts.senders.iter().map(|s| s.slots).sum();
+        let room: u32 = self.facts.senders.iter().map(|s| s.max_open).sum();
+        let like = self.senders[0].clone();
+        let part = |all: u32, least: u32| ((f64::from(all) / senders as f64).round() as u32).max(least);
+        let zones = &self.network.zones;
+        let zone = |n: usize| n % zones.len().max(1);
+        self.facts.senders = (0..senders)
+            .map(|n| facts::Sender {
+                name: format!("n{n}"),
+                zone: zones.get(zone(n)).cloned().unwrap_or_default(),
+                slots: part(slots, 2),
+                max_open: part(room, 8),
+            })
+            .collect();
+        let of = |n| Sender { share: 1.0 / senders as f64, zone: zone(n), ..like.clone() };
+        self.senders = (0..senders).map(of).collect();
+        Ok(())
+    }
+}
+
 struct Checks<'a> {
     text: &'a str,
     findings: Vec<Finding>,
@@ -869,14 +926,24 @@
 
 fn senders(raw: &Raw, c: &mut Checks<'_>, rate: f64, busy: f64) -> (Vec<Sender>, Vec<facts::Sender>) {
     let list = raw.sender.get_ref();
-    let fits = (1..=SENDERS_MOST).contains(&list.len());
-    c.whether(fits, raw.sender.span(), format!("there are 1 to {SENDERS_MOST} [[sender]] tables"));
+    let many: usize = list.iter().map(|s| s.count.unwrap_or(1).min(SENDERS_MOST + 1)).sum();
+    let fits = (1..=SENDERS_MOST).contains(&many);
+    c.whether(
+        fits,
+        raw.sender.span(),
+        format!("there are 1 to {SENDERS_MOST} senders in the [[sender]] tables"),
+    );
     let total: f64 = list.iter().map(|s| s.share).sum();
     let mut seen = BTreeSet::new();
     let (mut senders, mut figures) = (Vec::new(), Vec::new());
     for s in list {
         let (name, at) = (s.name.get_ref(), s.name.span());
-        c.whether(seen.insert(name), at.clone(), format!("a second sender '{name}'; name it otherwise"));
+        c.whether(s.count != Some(0), at.clone(), "'count' is 1 or more");
+        c.whether(
+            seen.insert(name.clone()),
+            at.clone(),
+            format!("a second sender '{name}'; name it otherwise"),
+        );
         let plain = !name.is_empty() && name.bytes().all(|b| b.is_ascii_alphanumeric() || b == b'-');
         c.whether(plain, at.clone(), "a sender's name has letters, digits and hyphens only");
         c.whether(positive(s.share), at.clone(), "'share' is above 0");
@@ -891,14 +958,24 @@
         if let Some(z) = s.zone.as_ref().filter(|_| zone.is_none()) {
             c.at(z.span(), format!("there is no building '{}'; there are {}", z.get_ref(), zones.join(", ")));
         }
-        let part = rate * s.share / total.max(f64::MIN_POSITIVE);
+        let count = s.count.unwrap_or(1).clamp(1, SENDERS_MOST);
+        let share = s.share / count as f64;
+        let part = rate * share / total.max(f64::MIN_POSITIVE);
         let slots = s.slots.unwrap_or(((1.75 * part * busy).ceil() as u32).max(4));
         let max_open = s.max_open.unwrap_or(((9.0 * part).ceil() as u32).max(8));
-        let zone = zone.unwrap_or(0);
-        let zone_name = zones.get(zone).cloned().unwrap_or_default();
-        let (memory_mb, sockets, disk_mb) = (s.memory_mb, s.sockets, s.disk_mb);
-        senders.push(Sender { share: s.share, zone, memory_mb, sockets, disk_mb });
-        figures.push(facts::Sender { name: name.clone(), zone: zone_name, slots, max_open });
+        for n in 0..count {
+            // Where no building is named, many alike stand in all of them in turn.
+            let zone = zone.unwrap_or(n % zones.len().max(1));
+            let zone_name = zones.get(zone).cloned().unwrap_or_default();
+            let name = if s.count.is_some() { format!("{name}{n}") } else { name.clone() };
+            if s.count.is_some() {
+                let free = seen.insert(name.clone());
+                c.whether(free, s.name.span(), format!("a second sender '{name}'; name it otherwise"));
+            }
+            let (memory_mb, sockets, disk_mb) = (s.memory_mb, s.sockets, s.disk_mb);
+            senders.push(Sender { share, zone, memory_mb, sockets, disk_mb });
+            figures.push(facts::Sender { name, zone: zone_name, slots, max_open });
+        }
     }
     (senders, figures)
 }
--- a/crates/rehearsal/src/shipped.rs
+++ b/crates/rehearsal/src/shipped.rs
@@ -27,6 +27,11 @@
     "restart-storm",
     "late-answer",
     "kept-order",
+    "return-herd",
+    "return-wide",
+    "return-many",
+    "deploy-all",
+    "wide-load",
 ];
 
 /// The one with this name.
--- a/crates/sender/src/lib.rs
+++ b/crates/sender/src/lib.rs
@@ -17,5 +17,6 @@
 mod fleet;
 mod input;
 mod journal;
+mod matrix;
 mod notices;
 mod rehearse;
--- a/crates/sender/src/rehearse.rs
+++ b/crates/sender/src/rehearse.rs
@@ -1,5 +1,6 @@
 //! `embershore rehearse`: the command line of the rehearsal kit.
 
+use crate::matrix::{self, Matrix};
 use clap::{Args, Subcommand};
 use embershore_rehearsal::capture::{Tap, capture};
 use embershore_rehearsal::plan;
@@ -23,6 +24,8 @@
   embershore rehearse list                          the shipped scenarios
   embershore rehearse run cold-return --html r.html a shipped scenario, with pictures
   embershore rehearse run evening.toml --json       a scenario of one's own, for a machine to read
+  embershore rehearse matrix return-herd --seeds 1,2,3 --out herd --html herd.html
+                                                    the same evening with 1 to 24 senders
   embershore rehearse tell 127.0.0.1:7070 slow receiver=3 for=10s factor=8
 
 Exit codes: 0 all rules kept, 1 a rule broken, 2 bad arguments, scenario or evidence, 3 void, since the rig itself
@@ -47,6 +50,9 @@
     /// Another seed than the scenario's: other traffic of the same kind.
     #[arg(long)]
     seed: Option<u64>,
+    /// Another number of senders, all alike: the same load, and the same slots and room in all.
+    #[arg(long, value_name = "NUMBER")]
+    senders: Option<usize>,
     /// The folder for the evidence: history, configurations, logs. A new one below the system's folder for
     /// temporary files if not given.
     #[arg(long, value_name = "FOLDER")]
@@ -122,6 +128,8 @@
         #[arg(long)]
         json: bool,
     },
+    /// Play scenarios by numbers of senders by seeds, and show the table.
+    Matrix(Matrix),
     /// Have something done while a rehearsal runs that was started with `--control`.
     Tell {
         /// Its control port.
@@ -167,6 +175,7 @@
         Some(What::List { json, show }) => list(json, show.as_deref()),
         Some(What::Judge { evidence, play }) => show(&evidence, play.html.as_deref(), play.json),
         Some(What::Compare { a, b, json }) => both(&a, &b, json),
+        Some(What::Matrix(what)) => matrix::main(&what),
         Some(What::Tell { address, words }) => tell(address, &words.join(" ")),
         Some(What::Capture { listen, to, out, seconds }) => {
             let tap = Tap { listen, to, lasting: seconds.map(Duration::from_secs) };
@@ -187,7 +196,7 @@
     }
 }
 
-fn read(name: &str) -> Result<Scenario, ScenarioError> {
+pub(crate) fn read(name: &str) -> Result<Scenario, ScenarioError> {
     match shipped::find(name) {
         // A file of that name goes first: an operator's own copy is meant.
         Some(s) if !Path::new(name).is_file() => {
@@ -202,6 +211,9 @@
     if let Some(seed) = how.seed {
         scenario.facts.seed = seed;
     }
+    if let Some(number) = how.senders {
+        scenario.split(number).map_err(|e| format!("--senders {number}: {e}"))?;
+    }
     if !senders.is_empty() && senders.len() != scenario.senders.len() {
         return Err(
             format!("the scenario has {} senders; give as many --sender", scenario.senders.len()).into()
