--- a/crates/rehearsal/tests/judge.rs
+++ b/crates/rehearsal/tests/judge.rs
@@ -570,3 +570,98 @@
         assert!(!judgement.broken(), "{:?}", judgement.rules);
     }
 }
+
+// How near a run came to each limit.
+
+fn margin(h: &History, rule: Rule) -> Option<(f64, f64)> {
+    let judgement = h.judge();
+    judgement.ruling(rule).unwrap().margin.as_ref().map(|m| (m.worst, m.limit))
+}
+
+#[test]
+fn the_margin_of_a_message_is_the_time_left_at_its_end() {
+    // Its time is up at 10 s, and 350 ms later the limit of its notice.
+    let h = History::new().taken(0, 0, "m1", SAFE).notice(10_100, "m1", Ended::Failed).over(20_000).clone();
+    assert_eq!(margin(&h, Rule::NoMessageLost), Some((250.0, 0.0)));
+    let h = History::new().taken(0, 0, "m1", SAFE).notice(10_400, "m1", Ended::Failed).over(20_000).clone();
+    assert_eq!(margin(&h, Rule::NoMessageLost), Some((-50.0, 0.0)));
+}
+
+#[test]
+fn resends_are_counted_by_kind_with_what_is_left_of_the_window() {
+    let mut h = History::new();
+    h.taken(0, 0, "k1", KEYED).sent(10, 0, "e1", "k1", 500).sent(1_010, 0, "e1", "k1", 200);
+    h.taken(0, 0, "p1", UNSAFE).sent(10, 0, "e1", "p1", 503).sent(500, 0, "e1", "p1", 200).over(20_000);
+    assert_eq!(margin(&h, Rule::NoEffectTwice), Some((2_050.0, 0.0)));
+    let judgement = h.judge();
+    let counts = &judgement.ruling(Rule::NoEffectTwice).unwrap().counts;
+    let counts: Vec<(&str, usize)> = counts.iter().map(|(k, n)| (k.as_str(), *n)).collect();
+    let expected = [
+        ("keyed, sent again within its window or past it", 1),
+        ("unsafe, sent again since nothing had run", 1),
+    ];
+    assert_eq!(counts, expected);
+}
+
+#[test]
+fn the_margin_of_a_drain_is_the_latest_call_after_the_word() {
+    let mut h = History::new();
+    h.listed(0, 0, &["e1", "e2"]).told(1_000, 0, "e1", Standing::Terminating);
+    h.taken(0, 0, "m1", SAFE).taken(0, 0, "m2", SAFE);
+    h.sent(1_300, 0, "e1", "m1", 200).sent(1_900, 0, "e2", "m2", 200).over(20_000);
+    assert_eq!(margin(&h, Rule::DrainsKept), Some((300.0, 1_050.0)));
+}
+
+#[test]
+fn the_margin_of_a_return_is_the_highest_share_of_the_fall() {
+    // Eleven messages where 11.99 push it over.
+    let (share, limit) = margin(&returned(&[0], &[(0, 11)], 5_200), Rule::ReturnNotPushedOver).unwrap();
+    assert!((0.9..1.0).contains(&share) && limit == 1.0, "{share}");
+    let (share, _) = margin(&returned(&[0], &[(0, 14)], 5_200), Rule::ReturnNotPushedOver).unwrap();
+    assert!((1.1..1.3).contains(&share), "{share}");
+    let returns = returned(&[0], &[(0, 11)], 5_200).judge().returns;
+    assert_eq!((returns.len(), returns[0].receiver, returns[0].knowing, returns[0].pushes), (1, 1, 1, 11));
+    // Nobody saw it: nothing was put to the test.
+    assert_eq!(margin(&returned(&[], &[(0, 11)], 5_200), Rule::ReturnNotPushedOver), None);
+}
+
+#[test]
+fn a_return_is_over_when_the_usual_load_is_back() {
+    // Ten a second before the outage, then one each 200 ms, and each 100 ms from the third second on.
+    let mut h = History::new();
+    let send = |h: &mut History, ms: i64, n: usize| {
+        let id = format!("m{n}");
+        h.taken(ms - 10, 0, &id, SAFE).sent(ms, 0, "e1", &id, 200);
+    };
+    (0..50).for_each(|n| send(&mut h, 100 + 100 * n, n as usize));
+    h.at(5_200, Event::Down { receiver: 1, endpoint: None })
+        .at(8_000, Event::Back { receiver: 1, endpoint: None });
+    (0..10).for_each(|n| send(&mut h, 8_100 + 200 * n, 100 + n as usize));
+    (0..20).for_each(|n| send(&mut h, 10_100 + 100 * n, 200 + n as usize));
+    h.over(20_000);
+    let returned = h.judge().returns[0].clone();
+    // The fifth is answered a second after the return; nine within a second come once the dense ones do.
+    assert_eq!(returned.half, Some(1_000_000));
+    assert!((2_700_000..3_100_000).contains(&returned.full.unwrap()), "{:?}", returned.full);
+}
+
+#[test]
+fn the_margin_of_a_wait_is_the_earliest_call_after_it() {
+    let mut h = History::new();
+    h.taken(0, 0, "m1", SAFE).taken(0, 0, "m2", SAFE);
+    let call = h.call(100, 0, "e1", &["m1"]);
+    h.wait(200, call, 1_000).sent(1_350, 0, "e2", "m2", 200).over(20_000);
+    assert_eq!(margin(&h, Rule::WaitsHeeded), Some((150.0, 0.0)));
+    let call = h.call(1_500, 0, "e1", &["m1"]);
+    h.records.retain(|r| !matches!(r.event, Event::Over));
+    h.wait(1_600, call, 1_000).sent(2_200, 0, "e1", "m1", 200).over(20_000);
+    assert_eq!(margin(&h, Rule::WaitsHeeded), Some((-400.0, 0.0)));
+}
+
+#[test]
+fn the_margin_of_an_order_is_the_time_between_two_of_a_key() {
+    let mut h = History::new();
+    h.taken_of(0, "m1", "a").taken_of(20, "m2", "a");
+    h.sent(100, 0, "e1", "m1", 200).sent(260, 0, "e1", "m2", 200).over(20_000);
+    assert_eq!(margin(&h, Rule::OrderKept), Some((60.0, 0.0)));
+}
--- a/crates/rehearsal/tests/scenario.rs
+++ b/crates/rehearsal/tests/scenario.rs
@@ -207,3 +207,33 @@
         assert!(error.contains(mend), "{line}: {error}");
     }
 }
+
+#[test]
+fn senders_alike_are_numbered_and_stand_in_all_buildings() {
+    let scenario = parse(&GOOD.replace("name = \"n0\"", "name = \"n\"\ncount = 3\nslots = 10")).unwrap();
+    let senders = &scenario.facts.senders;
+    let names: Vec<(&str, &str)> = senders.iter().map(|s| (s.name.as_str(), s.zone.as_str())).collect();
+    assert_eq!(names, [("n0", "a"), ("n1", "b"), ("n2", "a")]);
+    assert!(scenario.senders.iter().all(|s| (s.share - 1.0 / 3.0).abs() < 1e-9));
+    refused("name = \"n0\"", "name = \"n\"\ncount = 33", (21, 1), "1 to 32 senders");
+    refused("name = \"n0\"", "name = \"n\"\ncount = 0", (22, 8), "'count' is 1 or more");
+    let twice = "name = \"n\"\ncount = 2\n\n[[sender]]\nname = \"n1\"";
+    refused("name = \"n0\"", twice, (26, 8), "a second sender 'n1'");
+}
+
+#[test]
+fn split_among_others_the_load_and_the_slots_in_all_stay() {
+    let text = GOOD.replace("name = \"n0\"", "name = \"n\"\ncount = 4\nslots = 30\nmax_open = 120");
+    let mut scenario = parse(&text).unwrap();
+    scenario.split(12).unwrap();
+    assert_eq!((scenario.senders.len(), scenario.facts.senders.len()), (12, 12));
+    assert!(scenario.facts.senders.iter().all(|s| (s.slots, s.max_open) == (10, 40)));
+    let planned = plan(&scenario).unwrap();
+    assert_eq!(planned.len(), plan(&parse(&text).unwrap()).unwrap().len());
+    assert!((0..12).all(|n| planned.iter().any(|m| m.sender == n)), "each has its part");
+    assert!(scenario.split(0).is_err() && scenario.split(33).is_err());
+    let kill = "\n[[event]]\nat = \"1s\"\ndo = \"sigkill\"\n";
+    assert!(parse(&format!("{text}{kill}")).unwrap().split(3).is_ok(), "it is for all of them");
+    let error = parse(&format!("{text}{kill}sender = \"n1\"\n")).unwrap().split(3).unwrap_err();
+    assert!(error.to_string().contains("'n1'"), "{error}");
+}
--- a/crates/sender/tests/rehearsal.rs
+++ b/crates/sender/tests/rehearsal.rs
@@ -351,3 +351,34 @@
     let records = embershore_rehearsal::history::read(&folder.path().join("history.jsonl"));
     assert!(records.is_ok_and(|r| matches!(r[0].event, Event::Run { .. })));
 }
+
+#[test]
+fn a_matrix_goes_on_where_it_was_cut_off() {
+    let folder = tempfile::tempdir().unwrap();
+    let scenario = file(folder.path(), "1s").display().to_string();
+    let out = folder.path().join("out").display().to_string();
+    let matrix = |senders: &str| {
+        cli(&["matrix", &scenario, "--senders", senders, "--out", &out, "--jobs", "1", "--json"])
+    };
+    let first = matrix("1");
+    assert_eq!(first.status.code(), Some(0), "{}", text(&first.stderr));
+    let report = |n: usize| {
+        let found = std::fs::read_dir(&out).unwrap().map(|d| d.unwrap().path().join("report.json"));
+        found.filter(|p| p.is_file() && p.to_string_lossy().contains(&format!("-n{n}-"))).collect::<Vec<_>>()
+    };
+    let written = std::fs::metadata(&report(1)[0]).unwrap().modified().unwrap();
+    // What an interrupted run left has no report, and is played anew.
+    let half = report(1)[0].parent().unwrap().to_string_lossy().replace("-n1-", "-n3-");
+    std::fs::create_dir(&half).unwrap();
+    std::fs::write(Path::new(&half).join("history.jsonl"), "{}").unwrap();
+    let second = matrix("1,3");
+    assert_eq!(second.status.code(), Some(0), "{}", text(&second.stderr));
+    assert!(text(&second.stderr).contains("2 runs, 1 of them there already"), "{}", text(&second.stderr));
+    assert_eq!(std::fs::metadata(&report(1)[0]).unwrap().modified().unwrap(), written);
+    assert_eq!(report(3).len(), 1);
+    let rows: serde_json::Value = serde_json::from_slice(&second.stdout).unwrap();
+    let senders: Vec<u64> = rows.as_array().unwrap().iter().map(|r| r["senders"].as_u64().unwrap()).collect();
+    assert_eq!(senders, [1, 3]);
+    let bad = matrix("99");
+    assert_eq!((bad.status.code(), text(&bad.stderr).contains("1 to 32")), (Some(2), true));
+}
