--- a/crates/rehearsal/src/judge/table.rs
+++ b/crates/rehearsal/src/judge/table.rs
@@ -149,6 +149,8 @@
     pub from: Micros,
     /// Its process ended in it.
     pub restarted: bool,
+    /// When it was seen to have ended.
+    pub ended: Option<Micros>,
     /// Until it answered again; nothing if it never did.
     pub ready: Option<Micros>,
 }
@@ -283,6 +285,9 @@
                     self.crashes.push((t, *sender, how.clone()));
                 }
                 self.away(t, *sender, true);
+                if let Some(a) = self.absences.get_mut(*sender).and_then(|a| a.last_mut()) {
+                    a.ended.get_or_insert(t);
+                }
             }
             Event::Offer { sender, id, origin, again, class, tenant, receiver, order, left, due, .. } => {
                 self.by_id.insert(id.clone(), self.messages.len());
@@ -409,7 +414,7 @@
         let Some(list) = self.absences.get_mut(sender) else { return };
         match list.last_mut() {
             Some(a) if a.ready.is_none() => a.restarted |= restarted,
-            _ => list.push(Absence { from: t, restarted, ready: None }),
+            _ => list.push(Absence { from: t, restarted, ended: None, ready: None }),
         }
     }
 
--- a/crates/rehearsal/src/judge/waits.rs
+++ b/crates/rehearsal/src/judge/waits.rs
@@ -25,10 +25,11 @@
     for call in table.calls.values() {
         let Some(lane) = table.lane(&call.endpoint) else { continue };
         let Some(told) = waits.get(&(call.sender, lane)) else { continue };
-        // A restart ends a wait.
+        // A restart ends a wait, from the old process's end on: the new one may send before it is seen to be ready.
         let restarted = |from: Micros| {
             let absences = table.absences.get(call.sender).into_iter().flatten();
-            absences.into_iter().any(|a| a.restarted && a.ready.is_some_and(|r| r > from && r <= call.t))
+            let over = absences.filter(|a| a.restarted).filter_map(|a| a.ended.or(a.ready));
+            over.into_iter().any(|t| t > from && t <= call.t)
         };
         let heeded =
             told.iter().filter(|(from, until)| call.t > from + CROSSING && !restarted(*from) && until > from);
--- a/crates/rehearsal/tests/judge.rs
+++ b/crates/rehearsal/tests/judge.rs
@@ -665,3 +665,19 @@
     h.sent(100, 0, "e1", "m1", 200).sent(260, 0, "e1", "m2", 200).over(20_000);
     assert_eq!(margin(&h, Rule::OrderKept), Some((60.0, 0.0)));
 }
+
+#[test]
+fn a_wait_ends_with_the_process_that_was_told_it() {
+    // The new process sends before it is seen to be ready; the old one must heed the wait until it has ended.
+    let restarted = |sent: i64| {
+        let mut h = History::new();
+        h.taken(0, 0, "m1", SAFE).taken(0, 0, "m2", SAFE);
+        let call = h.call(100, 0, "e1", &["m1"]);
+        h.wait(200, call, 5_000).signal(1_000, 0, Signal::Term);
+        h.at(2_000, Event::Exited { sender: 0, planned: true, how: "signal".into() }).ready(3_000, 0);
+        h.sent(sent, 0, "e1", "m2", 200).notice(4_000, "m1", Ended::Failed).over(20_000).clone()
+    };
+    restarted(1_900).breaks(Rule::WaitsHeeded);
+    restarted(2_100).keeps(Rule::WaitsHeeded);
+    restarted(3_100).keeps(Rule::WaitsHeeded);
+}
--- a/crates/xtask/src/main.rs
+++ b/crates/xtask/src/main.rs
@@ -146,6 +146,8 @@
     for part in PARTS {
         copy(&root.join(part), &work.join(part)).with_context(|| part.to_string())?;
     }
+    // The sources may have changed since the start.
+    check(work, guard)?;
     let path = work.join(&guard.file);
     let text = std::fs::read_to_string(&path)?;
     std::fs::write(&path, text.replacen(&guard.find, &guard.replace, 1))?;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -253,9 +253,11 @@
         let since = health.warm_since.map(|t| t.min(now));
         e.warm = since.map(|since| Warm::new(since, now));
         // What ails all endpoints of a lane ailed the lane.
-        let (lane, bad) = (e.lane, e.first_bad.unwrap_or(now));
-        let mine = || self.endpoints.values().filter(|e| e.lane == lane && e.listed);
-        let down = mine().all(|e| e.trouble.is_some());
+        let (lane, dest, bad) = (e.lane, e.dest, e.first_bad.unwrap_or(now));
+        let Some(d) = self.dests.get(&dest) else { return };
+        let all = || d.endpoints.iter().filter_map(|id| self.endpoints.get(id));
+        let mine = || all().filter(|e| e.lane == lane && e.listed);
+        let down = health.trouble && mine().all(|e| e.trouble.is_some());
         let since = mine().filter_map(|e| e.warm.as_ref().map(|w| w.since)).max();
         let back = since.filter(|_| mine().all(|e| e.trouble.is_some() || e.warm.is_some()));
         let Some(l) = self.lanes.get_mut(&lane) else { return };
@@ -468,9 +470,8 @@
                     now - lane.last_ok >= if lane.back.is_some() { COLD_AFTER / 3 } else { COLD_AFTER };
                 let ended = lane.bad.filter(told).is_some();
                 let (key, was_out) = (e.lane, ended && quiet && (lane.down || trial));
-                lane.last_ok = now;
-                if ended {
-                    (lane.bad, lane.down) = (None, false);
+                if ended || lane.bad.is_none() {
+                    (lane.bad, lane.down, lane.last_ok) = (None, false, now);
                 }
                 e.last_ok = now;
                 e.fails *= 1.0 - FAIL_GAIN;
