Read over: one word for a verdict, one legend, a route's part counted once; dead state out

Need: the reports spelled a verdict's word in three places and a legend and a share of the fall in two to four; a return counted all endpoints again for each call that came, also where routes are not apart; the matrix read each report twice; the model of many senders kept a list of calls that nothing was ever put into.

Change: Verdict tells its own word, Load its share, `legend` serves both pages, a return holds its part, the matrix keeps what it has read or played, the dead list is gone. The daemon and the module are untouched.

--- a/crates/rehearsal/src/html/mod.rs
+++ b/crates/rehearsal/src/html/mod.rs
@@ -35,13 +35,7 @@
     let mut pictures = String::new();
     let mut add = |title: &str, lines: Vec<Line>, limit: Option<f64>| -> Result<(), String> {
         let svg = picture(&lines, limit, seconds, &table.marks).map_err(|e| format!("{title}: {e}"))?;
-        let legend: String = lines
-            .iter()
-            .map(|l| {
-                let RGBColor(r, g, b) = l.colour;
-                format!("<span style=\"color:rgb({r},{g},{b})\">&#9632; {}</span> ", escape(&l.name))
-            })
-            .collect();
+        let legend = legend(lines.iter().map(|l| (l.name.as_str(), l.colour)));
         pictures += &format!("<h3>{}</h3><p class=\"legend\">{legend}</p>{svg}", escape(title));
         Ok(())
     };
@@ -71,10 +65,10 @@
         })
         .collect();
     let rules: String = report.judgement.rules.iter().map(|r| {
-        let (class, word) = match r.verdict {
-            Verdict::Kept => ("kept", "kept"),
-            Verdict::Broken => ("broken", "BROKEN"),
-            Verdict::Untested => ("untested", "not tested"),
+        let class = match r.verdict {
+            Verdict::Kept => "kept",
+            Verdict::Broken => "broken",
+            Verdict::Untested => "untested",
         };
         let offences: String = r.offences.iter().map(|o| {
             let of = [o.message.as_deref(), o.endpoint.as_deref()];
@@ -83,8 +77,8 @@
         }).collect();
         let margin = r.margin.as_ref().map_or(String::new(), |m| format!("<br>{}", escape(&m.to_string())));
         format!(
-            "<tr><td>{}</td><td class=\"{class}\">{word}</td><td>{} times ({}){margin}<ul>{offences}</ul></td></tr>",
-            escape(&r.rule.to_string()), r.tested, escape(&r.test)
+            "<tr><td>{}</td><td class=\"{class}\">{}</td><td>{} times ({}){margin}<ul>{offences}</ul></td></tr>",
+            escape(&r.rule.to_string()), r.verdict, r.tested, escape(&r.test)
         )
     }).collect();
     let void = report.judgement.void.as_ref().map_or(String::new(), |w| {
@@ -115,6 +109,14 @@
     text.replace('&', "&amp;").replace('<', "&lt;").replace('>', "&gt;").replace('"', "&quot;")
 }
 
+/// What each colour of a picture stands for.
+pub(crate) fn legend<'a>(lines: impl Iterator<Item = (&'a str, RGBColor)>) -> String {
+    let entry = |(name, RGBColor(r, g, b))| {
+        format!("<span style=\"color:rgb({r},{g},{b})\">&#9632; {}</span> ", escape(name))
+    };
+    lines.map(entry).collect()
+}
+
 fn second(t: Micros) -> usize {
     (t.max(0) / 1_000_000) as usize
 }
--- a/crates/rehearsal/src/html/returns.rs
+++ b/crates/rehearsal/src/html/returns.rs
@@ -30,7 +30,7 @@
     for (n, r) in all.iter().take(PICTURES_MOST).enumerate() {
         let name = r.route.clone().unwrap_or_else(|| r.receiver.to_string());
         let svg = picture(table, r).map_err(|e| format!("return of {name}: {e}"))?;
-        let peak = r.peak().map_or(0.0, |p| p.sent / p.beyond);
+        let peak = r.peak().map_or(0.0, |p| p.share());
         // The pages after the first are folded up: a run may have many.
         let open = if n == 0 { " open" } else { "" };
         let (name, at) = (escape(&name), r.back as f64 / 1e6);
--- a/crates/rehearsal/src/judge/cold.rs
+++ b/crates/rehearsal/src/judge/cold.rs
@@ -17,7 +17,7 @@
     for r in returns.iter().filter(|r| !r.knowing.is_empty()) {
         found.tested += 1;
         if let Some(peak) = r.peak() {
-            margin.meet(peak.sent / peak.beyond, peak.t);
+            margin.meet(peak.share(), peak.t);
         }
         // It lies there from the first time on; what comes after pushes nothing over.
         let Some(load) = r.loads.iter().find(|l| l.sent > l.beyond) else { continue };
--- a/crates/rehearsal/src/judge/mod.rs
+++ b/crates/rehearsal/src/judge/mod.rs
@@ -104,6 +104,16 @@
     Untested,
 }
 
+impl fmt::Display for Verdict {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(match self {
+            Verdict::Kept => "kept",
+            Verdict::Broken => "BROKEN",
+            Verdict::Untested => "not tested",
+        })
+    }
+}
+
 /// How near a run came to a rule's limit.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Margin {
@@ -297,7 +307,7 @@
             back: r.back,
             knowing: r.knowing.len(),
             pushes: r.loads.len(),
-            peak: peak.map_or(0.0, |p| p.sent / p.beyond),
+            peak: peak.map_or(0.0, |p| p.share()),
             peak_after: peak.map_or(0, |p| p.t - r.back),
             half: r.half,
             full: r.full,
--- a/crates/rehearsal/src/judge/returns.rs
+++ b/crates/rehearsal/src/judge/returns.rs
@@ -52,6 +52,13 @@
     pub push: usize,
 }
 
+impl Load {
+    /// What came, as a share of what pushes the receiver over.
+    pub fn share(&self) -> f64 {
+        self.sent / self.beyond
+    }
+}
+
 /// One return of a receiver, or of a route of it.
 #[derive(Clone, Debug)]
 pub struct Return {
@@ -59,6 +66,8 @@
     pub receiver: i64,
     /// The route, where routes are apart.
     pub route: Option<String>,
+    /// The part of the receiver's capacity that it has: all of it, or a route's.
+    pub part: f64,
     /// When it went out.
     pub out: Micros,
     /// When it came back.
@@ -80,19 +89,13 @@
 impl Return {
     /// The load that came nearest to what pushes the receiver over.
     pub fn peak(&self) -> Option<Load> {
-        self.loads.iter().copied().max_by(|a, b| (a.sent / a.beyond).total_cmp(&(b.sent / b.beyond)))
+        self.loads.iter().copied().max_by(|a, b| a.share().total_cmp(&b.share()))
     }
 
     /// What pushes the receiver over so long after its return.
     pub fn beyond(&self, table: &Table, since: Micros) -> f64 {
         let capacity = table.receiver(self.receiver).map_or(0.0, |r| r.capacity_after(since));
-        table.facts.rules.fall_beyond(capacity * self.part(table))
-    }
-
-    /// A route has its part of the receiver's capacity.
-    fn part(&self, table: &Table) -> f64 {
-        let routes = table.endpoints.values().filter(|e| e.0 == self.receiver).count().max(1);
-        if self.route.is_some() { 1.0 / routes as f64 } else { 1.0 }
+        table.facts.rules.fall_beyond(capacity * self.part)
     }
 }
 
@@ -103,6 +106,8 @@
         let Some(receiver) = table.receiver(*number) else { continue };
         let lane = (*number, route.clone());
         let here = |endpoint: &str| table.lane(endpoint).is_some_and(|l| l == lane);
+        let routes = table.endpoints.values().filter(|e| e.0 == *number).count().max(1);
+        let part = if route.is_some() { 1.0 / routes as f64 } else { 1.0 };
         let calls: Vec<(u64, &Call)> =
             table.calls.iter().filter(|(_, c)| here(&c.endpoint)).map(|(n, c)| (*n, c)).collect();
         for (n, (out, until)) in outages.iter().enumerate() {
@@ -111,6 +116,7 @@
             let mut r = Return {
                 receiver: *number,
                 route: route.clone(),
+                part,
                 out: *out,
                 back,
                 until: next.min(back + receiver.warm_up),
--- a/crates/rehearsal/src/matrix.rs
+++ b/crates/rehearsal/src/matrix.rs
@@ -1,7 +1,7 @@
 //! Many runs side by side: scenarios by number of senders by seed, as a table and as a page with pictures. It makes
 //! figures of reports and does no I/O.
 
-use crate::html::{AMBER, CRIMSON, GREEN, SLATE, escape};
+use crate::html::{AMBER, CRIMSON, GREEN, SLATE, escape, legend};
 use crate::judge::{Rule, Verdict};
 use crate::report::Report;
 use crate::span::Micros;
@@ -186,14 +186,7 @@
     ];
     let mut names: Vec<&str> = rows.iter().map(|r| r.scenario.as_str()).collect();
     names.dedup();
-    let legend: String = names
-        .iter()
-        .enumerate()
-        .map(|(n, name)| {
-            let RGBColor(r, g, b) = colour(n);
-            format!("<span style=\"color:rgb({r},{g},{b})\">&#9632; {}</span> ", escape(name))
-        })
-        .collect();
+    let legend = legend(names.iter().enumerate().map(|(n, name)| (*name, colour(n))));
     let mut pictures = String::new();
     for (title, figure) in figures {
         let svg = picture(rows, &names, figure).map_err(|e| format!("{title}: {e}"))?;
--- a/crates/rehearsal/src/report.rs
+++ b/crates/rehearsal/src/report.rs
@@ -212,17 +212,13 @@
         }
         writeln!(out, "\nrules")?;
         for r in &j.rules {
-            let verdict = match r.verdict {
-                Verdict::Kept => "kept",
-                Verdict::Broken => "BROKEN",
-                Verdict::Untested => "not tested",
-            };
             let times =
                 if r.verdict == Verdict::Broken { format!("{} offences, ", r.broken) } else { String::new() };
             writeln!(
                 out,
-                "  {:<38} {verdict:<10} {times}tested {} times ({})",
+                "  {:<38} {:<10} {times}tested {} times ({})",
                 r.rule.to_string(),
+                r.verdict,
                 r.tested,
                 r.test
             )?;
@@ -373,9 +369,9 @@
         let verdict = |r: &Report| r.judgement.ruling(rule).map(|r| (r.verdict, r.broken));
         let (x, y) = (verdict(a), verdict(b));
         let word = |v: Option<(Verdict, usize)>| match v {
-            Some((Verdict::Kept, _)) => "kept".to_string(),
-            Some((Verdict::Broken, n)) => format!("BROKEN {n}"),
-            _ => "not tested".to_string(),
+            Some((verdict @ Verdict::Broken, n)) => format!("{verdict} {n}"),
+            Some((verdict, _)) => verdict.to_string(),
+            None => Verdict::Untested.to_string(),
         };
         writeln!(out, "{:<40} {:>12} {:>12}", rule.to_string(), word(x), word(y))?;
         let margin = |r: &Report| r.judgement.ruling(rule).and_then(|r| r.margin.clone());
--- a/crates/sender/src/matrix.rs
+++ b/crates/sender/src/matrix.rs
@@ -12,7 +12,7 @@
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
-/// Runs that were late are played again, alone, so often.
+/// Runs that were late are played again, with fewer beside them, so often.
 const AGAIN_MOST: u32 = 1;
 /// Name of the report in a run's folder.
 const REPORT: &str = "report.json";
@@ -52,6 +52,7 @@
 /// What is left to play, and how many at once.
 struct Queue {
     left: VecDeque<(Cell, String, u32)>,
+    runs: BTreeMap<Cell, Report>,
     done: usize,
     most: usize,
     running: usize,
@@ -81,28 +82,28 @@
         }
     }
     std::fs::create_dir_all(&matrix.out).map_err(|e| format!("{}: {e}", matrix.out.display()))?;
-    let there = |cell: &Cell| read(&matrix.out.join(cell.folder()).join(REPORT)).is_ok();
-    let left: VecDeque<_> =
-        cells.iter().filter(|(c, _)| !there(c)).map(|(c, name)| (c.clone(), name.clone(), 0)).collect();
+    let (mut runs, mut left, many) = (BTreeMap::new(), VecDeque::new(), cells.len());
+    for (cell, name) in cells {
+        match read(&matrix.out.join(cell.folder()).join(REPORT)) {
+            Some(report) => _ = runs.insert(cell, report),
+            None => left.push_back((cell, name, 0)),
+        }
+    }
     let cores = std::thread::available_parallelism().map_or(1, usize::from);
     let most = matrix.jobs.unwrap_or(cores / 2).max(1);
-    eprintln!("{} runs, {} of them there already, {most} at once", cells.len(), cells.len() - left.len());
+    eprintln!("{many} runs, {} of them there already, {most} at once", runs.len());
     let all = left.len();
-    let queue = Mutex::new(Queue { left, done: 0, most, running: 0, failed: None });
+    let queue = Mutex::new(Queue { left, runs, done: 0, most, running: 0, failed: None });
     std::thread::scope(|scope| {
         for _ in 0..most {
             scope.spawn(|| work(matrix, &queue, all));
         }
     });
-    if let Some(why) = queue.into_inner().unwrap_or_else(PoisonError::into_inner).failed {
+    let queue = queue.into_inner().unwrap_or_else(PoisonError::into_inner);
+    if let Some(why) = queue.failed {
         return Err(why.into());
     }
-    let mut runs: BTreeMap<Cell, Report> = BTreeMap::new();
-    for (cell, _) in cells {
-        let path = matrix.out.join(cell.folder()).join(REPORT);
-        runs.insert(cell, read(&path)?);
-    }
-    let rows = rows(&runs);
+    let rows = rows(&queue.runs);
     if let Some(path) = &matrix.html {
         std::fs::write(path, page(&rows)?).map_err(|e| format!("{}: {e}", path.display()))?;
     }
@@ -121,10 +122,9 @@
     })
 }
 
-fn read(path: &Path) -> Result<Report, String> {
-    let bytes = std::fs::read(path).map_err(|e| format!("{}: {e}", path.display()))?;
-    serde_json::from_slice(&bytes)
-        .map_err(|e| format!("{}: {e}; remove it, and the run is played again", path.display()))
+/// A run's report; nothing if it is not there whole, so that the run is played anew.
+fn read(path: &Path) -> Option<Report> {
+    serde_json::from_slice(&std::fs::read(path).ok()?).ok()
 }
 
 fn work(matrix: &Matrix, queue: &Mutex<Queue>, all: usize) {
@@ -159,6 +159,7 @@
                     let word = if report.judgement.broken() { ", a rule BROKEN" } else { "" };
                     let figure = report.judgement.service.figure;
                     eprintln!("{:>4} of {all}  {}: service {figure:.3}{word}", q.done, cell.folder());
+                    q.runs.insert(cell, report);
                 }
             },
             Err(why) => {
--- a/tests/common/herd.rs
+++ b/tests/common/herd.rs
@@ -106,10 +106,9 @@
 
 /// A call at the receiver.
 struct Visit {
-    sender: usize,
     msgs: Vec<(MsgId, u32)>,
     endpoint: EndpointId,
-    sent: Micros,
+    /// When its sender stops waiting.
     gone: Micros,
 }
 
@@ -181,7 +180,6 @@
         // Open messages with their deadlines, for a restart.
         let mut open: BTreeMap<(usize, MsgId), (usize, Micros)> = BTreeMap::new();
         let mut tried: BTreeMap<(usize, MsgId), (EndpointId, Micros)> = BTreeMap::new();
-        let mut visits: Vec<Visit> = Vec::new();
         let mut queue: BTreeMap<(Micros, u64), (usize, Event)> = BTreeMap::new();
         let mut load: VecDeque<(Micros, f64)> = VecDeque::new();
         let mut came: VecDeque<Micros> = VecDeque::new();
@@ -217,7 +215,6 @@
                     timers[i] = now;
                 }
                 queue.clear();
-                visits.clear();
                 busy.clear();
             }
             for i in 0..n {
@@ -269,13 +266,8 @@
                         Action::Send { call, id, endpoint, timeout } => {
                             let no = attempts.entry((i, id)).or_insert(0);
                             let gone = now + timeout;
-                            let visit = calls.entry(call).or_insert(Visit {
-                                sender: i,
-                                msgs: vec![],
-                                endpoint,
-                                sent: now,
-                                gone,
-                            });
+                            let fresh = Visit { msgs: vec![], endpoint, gone };
+                            let visit = calls.entry(call).or_insert(fresh);
                             visit.msgs.push((id, *no));
                             visit.gone = visit.gone.max(gone);
                             *no += 1;
@@ -306,14 +298,7 @@
                             let event = Event::Probed { endpoint, outcome, report: None };
                             queue.insert((now + 10 * MS, order), (i, event));
                         }
-                        Action::Cancel { id, attempt } => {
-                            // The receiver is not told in time: what it does with the call stays.
-                            let of = |v: &Visit| v.sender == i && v.msgs.contains(&(id, attempt));
-                            if let Some(at) = visits.iter().position(of) {
-                                let v = &mut visits[at];
-                                v.gone = now;
-                            }
-                        }
+                        // Cancels come too late here: a call ends by its answer or its time-out.
                         _ => {}
                     }
                 }
@@ -357,12 +342,12 @@
                     let outcome = if at < now.saturating_add(after) { Outcome::TimedOut } else { outcome };
                     for (id, attempt) in v.msgs {
                         order += 1;
-                        let (endpoint, elapsed, last) = (v.endpoint, at - v.sent, outcome == Outcome::Done);
+                        let (endpoint, elapsed, last) = (v.endpoint, at - now, outcome == Outcome::Done);
                         let wait = if outcome == Outcome::Busy { wait } else { 0 };
                         let report = None;
                         let event =
                             Event::Outcome { id, attempt, endpoint, outcome, last, elapsed, wait, report };
-                        queue.insert((at, order), (v.sender, event));
+                        queue.insert((at, order), (i, event));
                     }
                 }
             }
