--- a/src/logic.rs
+++ b/src/logic.rs
@@ -346,7 +346,7 @@
     fn returned(&mut self, key: LaneKey) {
         let now = self.now;
         let Some(lane) = self.lanes.get_mut(&key) else { return };
-        (lane.down, lane.bad, lane.back) = (false, None, Some(Warm::new(now, now)));
+        lane.back = Some(Warm::new(now, now));
         for id in self.dests.get(&lane.dest).map(|d| d.endpoints.clone()).unwrap_or_default() {
             let Some(e) = self.endpoints.get_mut(&id).filter(|e| e.lane == key) else { continue };
             if e.trouble.as_ref().is_some_and(|t| t.hearsay && t.trial.is_none()) {
