Owed: debts, the operator's rules, what comes next, pace, and a store on a dying disk

Need: what could not be delivered is to be kept, inspected and sent again by a rule, with no second effect of what may have run.

Found by the tests: a store that is killed while it is begun opens no more, so it is begun under another name; a receiver that had been heard of never, or failed last, would never have been tried where nothing fresh goes to it.

The daemon is untouched.

--- /dev/null
+++ b/crates/owed/benches/cost.rs
@@ -0,0 +1,120 @@
+//! What a debt costs: on disk, in memory, at the start, in a list. `cargo bench -p embershore-owed`, with sizes as
+//! arguments behind `--`; each size in a process of its own, so that memory is that of one store.
+
+use bytes::Bytes;
+use embershore_owed::store::Filter;
+use embershore_owed::{Attempt, Debt, Ending, Message, Reason, Store};
+use std::process::Command;
+use std::time::Instant;
+
+const RECEIVERS: u64 = 200;
+const BODY: usize = 200;
+const BATCH: u64 = 1000;
+
+/// Anonymous resident memory of this process, in bytes.
+fn anonymous() -> u64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find_map(|l| l.strip_prefix("RssAnon:"));
+    let kb = line.and_then(|l| l.trim().split(' ').next()).and_then(|n| n.parse::<u64>().ok());
+    kb.unwrap_or(0) * 1024
+}
+
+fn debt(n: u64) -> Debt {
+    let message = Message {
+        request_id: format!("{n:016x}"),
+        idempotency_key: Some(format!("{:016x}", !n)),
+        class: ["quota", "response", "payout"][n as usize % 3].into(),
+        tenant: "acme".into(),
+        dest: (n % RECEIVERS) as i64,
+        key: format!("survey-{}", n % 1000),
+        order: n,
+        body: Bytes::from(vec![b'x'; BODY]),
+    };
+    let attempt = |at| Attempt { endpoint: "s-5be2a07c".into(), at, ending: Ending::NoConnection };
+    let attempts = (1..=3).map(|k| attempt(n as i64 + k)).collect();
+    Debt::new(message, attempts, Reason::ALL[n as usize % 6], n as i64)
+}
+
+fn one(size: u64) -> Result<(), Box<dyn std::error::Error>> {
+    let folder = tempfile::tempdir()?;
+    let path = folder.path().join("owed");
+    let most = 64_000_000 + size * 8_000;
+    let begun = Instant::now();
+    let store = Store::open(&path, most)?;
+    let mut n = 0;
+    while n < size {
+        let batch: Vec<Debt> = (n..size.min(n + BATCH)).map(debt).collect();
+        n += batch.len() as u64;
+        for became in store.keep_all(batch.iter().map(|d| (d, Some(d.since))))? {
+            became?;
+        }
+    }
+    let filled = begun.elapsed();
+    let (live, _) = store.room()?;
+    drop(store);
+    let disk = std::fs::metadata(&path)?.len();
+
+    let before = anonymous();
+    let begun = Instant::now();
+    let store = Store::open(&path, most)?;
+    let opened = begun.elapsed();
+    let timed = |filter: Filter, most: usize| -> Result<_, Box<dyn std::error::Error>> {
+        let begun = Instant::now();
+        let found = store.list(&filter, most)?.debts.len();
+        Ok((found, begun.elapsed()))
+    };
+    let (found, receiver) = timed(Filter { receiver: Some(7), ..Filter::default() }, 1000)?;
+    let (_, reason) = timed(Filter { reason: Some(Reason::Gone), ..Filter::default() }, 1000)?;
+    let begun = Instant::now();
+    let sorts = store.counts()?.len();
+    let counted = begun.elapsed();
+    let begun = Instant::now();
+    let single = store.keep(&debt(size + 1), None);
+    let kept = begun.elapsed();
+    single?;
+    let memory = anonymous().saturating_sub(before);
+    println!(
+        "{size:>9} {:>9.0} {:>9.0} {:>8.2} {:>9.1} {:>9.1} {:>9.1} {:>9.1} {:>9.2} {:>8.1}",
+        disk as f64 / size as f64,
+        live as f64 / size as f64,
+        memory as f64 / 1e6,
+        opened.as_secs_f64() * 1e3,
+        receiver.as_secs_f64() * 1e3,
+        reason.as_secs_f64() * 1e3,
+        counted.as_secs_f64() * 1e3,
+        kept.as_secs_f64() * 1e3,
+        filled.as_secs_f64(),
+    );
+    if found == 0 || sorts == 0 {
+        return Err("the store is empty".into());
+    }
+    Ok(())
+}
+
+fn main() -> Result<(), Box<dyn std::error::Error>> {
+    if let Ok(size) = std::env::var("OWED_SIZE") {
+        return one(size.parse()?);
+    }
+    let sizes: Vec<u64> = std::env::args().filter_map(|a| a.parse().ok()).collect();
+    let sizes = if sizes.is_empty() { vec![1_000, 100_000] } else { sizes };
+    println!(
+        "{:>9} {:>9} {:>9} {:>8} {:>9} {:>9} {:>9} {:>9} {:>9} {:>8}",
+        "debts",
+        "disk B",
+        "booked B",
+        "MB",
+        "open ms",
+        "by rcv ms",
+        "by why ms",
+        "counts ms",
+        "keep ms",
+        "fill s"
+    );
+    for size in sizes {
+        let status = Command::new(std::env::current_exe()?).env("OWED_SIZE", size.to_string()).status()?;
+        if !status.success() {
+            return Err(format!("{size} debts: {status}").into());
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/owed/tests/common/mod.rs
@@ -0,0 +1,143 @@
+//! Debts by hand, and a disk that fails on command.
+#![allow(dead_code)]
+
+use bytes::Bytes;
+use embershore_owed::*;
+use heronroute::{Effect, Micros};
+use redb::StorageBackend;
+use std::io;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+pub const S: Micros = 1_000_000;
+
+pub fn classes() -> Vec<ClassFacts> {
+    let class =
+        |name: &str, effect, window| ClassFacts { name: name.into(), effect, window, deadline: 20 * S };
+    vec![
+        class("quota", Effect::Free, 0),
+        class("response", Effect::Guarded, 10 * S),
+        class("payout", Effect::SingleShot, 0),
+    ]
+}
+
+pub fn message(request_id: &str, class: &str, dest: i64) -> Message {
+    Message {
+        request_id: request_id.into(),
+        idempotency_key: Some(format!("k{request_id}")),
+        class: class.into(),
+        tenant: "acme".into(),
+        dest,
+        key: "survey-7".into(),
+        order: 1,
+        body: Bytes::from_static(b"body"),
+    }
+}
+
+pub fn attempt(at: Micros, ending: Ending) -> Attempt {
+    Attempt { endpoint: "s-1".into(), at, ending }
+}
+
+pub fn debt(class: &str, endings: &[Ending]) -> Debt {
+    let attempts: Vec<_> =
+        endings.iter().enumerate().map(|(n, e)| attempt((n as Micros + 1) * S, *e)).collect();
+    let reason = Reason::of(&attempts, true, 8);
+    Debt::new(message("m1", class, 3), attempts, reason, 20 * S)
+}
+
+/// What a disk has, and what it has been told but not yet synced.
+#[derive(Debug, Default)]
+pub struct Disk {
+    synced: Vec<u8>,
+    written: Vec<u8>,
+    pending: Vec<(u64, Vec<u8>)>,
+    ops: u64,
+    /// After so many writes, syncs and changes of length all fails.
+    pub dies_at: Option<u64>,
+}
+
+/// A handle on it; clones share the disk.
+#[derive(Clone, Debug, Default)]
+pub struct Faulty(pub Arc<Mutex<Disk>>);
+
+impl Faulty {
+    pub fn disk(&self) -> MutexGuard<'_, Disk> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub fn ops(&self) -> u64 {
+        self.disk().ops
+    }
+
+    /// What is there after the process has died: all that was written.
+    pub fn killed(&self) -> Faulty {
+        let disk = self.disk();
+        let (synced, written) = (disk.written.clone(), disk.written.clone());
+        Faulty(Arc::new(Mutex::new(Disk { synced, written, ..Disk::default() })))
+    }
+
+    /// What is there after the power has gone: what was synced, and of the rest what the seed's bits say.
+    pub fn cut(&self, seed: u64) -> Faulty {
+        let disk = self.disk();
+        let mut bytes = disk.synced.clone();
+        bytes.resize(bytes.len().max(disk.written.len()), 0);
+        for (n, (at, data)) in disk.pending.iter().enumerate() {
+            if seed.rotate_left(n as u32 * 7) & 1 == 1 {
+                bytes[*at as usize..*at as usize + data.len()].copy_from_slice(data);
+            }
+        }
+        Faulty(Arc::new(Mutex::new(Disk { synced: bytes.clone(), written: bytes, ..Disk::default() })))
+    }
+
+    pub fn len(&self) -> u64 {
+        self.disk().written.len() as u64
+    }
+}
+
+impl Disk {
+    fn op(&mut self) -> io::Result<()> {
+        self.ops += 1;
+        match self.dies_at {
+            Some(at) if self.ops > at => Err(io::Error::other("the disk has died")),
+            _ => Ok(()),
+        }
+    }
+}
+
+impl StorageBackend for Faulty {
+    fn len(&self) -> io::Result<u64> {
+        Ok(self.disk().written.len() as u64)
+    }
+    fn read(&self, offset: u64, out: &mut [u8]) -> io::Result<()> {
+        let disk = self.disk();
+        let range = offset as usize..offset as usize + out.len();
+        out.copy_from_slice(disk.written.get(range).ok_or(io::ErrorKind::UnexpectedEof)?);
+        Ok(())
+    }
+    fn set_len(&self, len: u64) -> io::Result<()> {
+        let mut disk = self.disk();
+        disk.op()?;
+        disk.written.resize(len as usize, 0);
+        Ok(())
+    }
+    fn sync_data(&self) -> io::Result<()> {
+        let mut disk = self.disk();
+        disk.op()?;
+        let len = disk.written.len();
+        disk.synced.resize(len, 0);
+        for (at, data) in std::mem::take(&mut disk.pending) {
+            // What was cut off since is gone.
+            if let Some(place) = disk.synced.get_mut(at as usize..at as usize + data.len()) {
+                place.copy_from_slice(&data);
+            }
+        }
+        Ok(())
+    }
+    fn write(&self, offset: u64, data: &[u8]) -> io::Result<()> {
+        let mut disk = self.disk();
+        disk.op()?;
+        let at = offset as usize;
+        disk.written[at..at + data.len()].copy_from_slice(data);
+        disk.pending.push((offset, data.to_vec()));
+        Ok(())
+    }
+}
