embershore check: an options file against a configuration, and what becomes of what

Need: an operator must see what rules mean before an outage does.

Measured: tests run the binary on a good file, a bad one, a missing configuration and none. With no arguments it is the daemon as before.

--- /dev/null
+++ b/crates/sender/src/check.rs
@@ -0,0 +1,176 @@
+//! `embershore check`: an options file is checked against a daemon's configuration, and shown as what it means.
+
+use crate::daemon::Config;
+use clap::Args;
+use embershore_options::{Options, OptionsError};
+use embershore_owed::rules::Then;
+use embershore_owed::{ClassFacts, Reason, Rules};
+use heronroute::Effect;
+use serde::Serialize;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+/// What a shell is told when an argument or a file can't be read.
+const BAD: u8 = 2;
+
+const EXAMPLES: &str = "\
+Examples:
+  embershore check options.toml --config config.json    against the classes of this configuration
+  LB_CONFIG=config.json embershore check options.toml   the same
+  embershore check options.toml --json                  for a machine to read
+
+Exit codes: 0 the file is good, 1 something in it is wrong, 2 it or the configuration can't be read.";
+
+/// Checks the operator's options file, and shows what would become of messages that can't be delivered.
+///
+/// Nothing is started or changed. A daemon takes such a file over whole or not at all, by these same checks.
+#[derive(Args)]
+#[command(after_help = EXAMPLES)]
+pub struct Arguments {
+    /// The options file.
+    file: PathBuf,
+    /// The daemon's configuration, which names the classes.
+    #[arg(long, value_name = "FILE", env = "LB_CONFIG")]
+    config: PathBuf,
+    /// As JSON.
+    #[arg(long)]
+    json: bool,
+}
+
+/// What would become of one sort of message.
+#[derive(Debug, PartialEq, Serialize)]
+struct Fate {
+    /// The receiver, where a rule names it; else all others.
+    receiver: Option<i64>,
+    class: String,
+    reason: Reason,
+    /// Absent where no rule speaks of it.
+    rule: Option<String>,
+    fate: String,
+}
+
+#[derive(Serialize)]
+struct Finding<'a> {
+    line: usize,
+    column: usize,
+    what: &'a str,
+}
+
+fn seconds(micros: i64) -> String {
+    humantime::format_duration(std::time::Duration::from_micros(micros.max(0) as u64)).to_string()
+}
+
+/// In words, what a rule does with a message of this class that ended for this reason.
+fn fate(rules: &Rules, receiver: i64, class: &ClassFacts, reason: Reason) -> (Option<String>, String) {
+    let Some((_, rule)) = rules.rule_of(receiver, &class.name, reason) else {
+        return (None, "not kept".into());
+    };
+    let name = Some(rule.name.clone());
+    if !rule.keep {
+        return (name, "not kept".into());
+    }
+    let mut words = vec!["kept".to_string()];
+    let doubt = reason == Reason::MayHaveRun;
+    if doubt && class.effect == Effect::SingleShot {
+        words.push("in doubt: waits for a word".into());
+    } else if let Some(r) = &rule.resend {
+        words.push(format!("sent again {} times at most, {} apart", r.times, seconds(r.gap)));
+        if r.growth > 1.0 {
+            words.push(format!("growing to {}", seconds(r.gap_most)));
+        }
+        if doubt && class.effect == Effect::Guarded {
+            words.push("while its key is remembered, then in doubt".into());
+        }
+    } else {
+        words.push("not sent again".into());
+    }
+    if rule.supersede {
+        words.push("dropped for a newer one".into());
+    }
+    if let Some(span) = rule.owed_for {
+        let then = match rule.then {
+            Then::Keep => "kept for inspection",
+            Then::Drop => "taken out",
+        };
+        words.push(format!("after {} {then}", seconds(span)));
+    }
+    (name, words.join(", "))
+}
+
+fn fates(rules: &Rules, classes: &[ClassFacts]) -> Vec<Fate> {
+    let named = rules.receivers();
+    // Any number that no rule names stands for all others.
+    let other = (0..).find(|n| !named.contains(n)).unwrap_or(-1);
+    let receivers = named.iter().map(|n| (Some(*n), *n)).chain([(None, other)]);
+    let mut list = Vec::new();
+    for (receiver, number) in receivers {
+        for class in classes {
+            for reason in Reason::ALL {
+                let (rule, fate) = fate(rules, number, class, reason);
+                list.push(Fate { receiver, class: class.name.clone(), reason, rule, fate });
+            }
+        }
+    }
+    list
+}
+
+/// The classes that a configuration knows.
+fn classes(config: &Path) -> Result<Vec<ClassFacts>, String> {
+    let config = Config::read(config)?;
+    let names = config.settings.names().classes;
+    let settings = config.settings.settings().classes;
+    let class = |(name, c): (String, heronroute::ClassSettings)| {
+        let (effect, window, deadline) = (c.effect, c.window, c.deadline);
+        ClassFacts { name, effect, window, deadline }
+    };
+    Ok(names.into_iter().zip(settings).map(class).collect())
+}
+
+/// Does what the arguments ask for; its exit code.
+pub fn main(arguments: &Arguments) -> ExitCode {
+    let classes = match classes(&arguments.config) {
+        Ok(classes) => classes,
+        Err(e) => {
+            eprintln!("embershore check: {e}");
+            return ExitCode::from(BAD);
+        }
+    };
+    match Options::read(&arguments.file, &classes) {
+        Ok(options) => {
+            let fates = options.owed.as_ref().map(|rules| fates(rules, &classes));
+            show(arguments, fates);
+            ExitCode::SUCCESS
+        }
+        Err(e @ OptionsError::Io { .. }) => {
+            eprintln!("embershore check: {e}");
+            ExitCode::from(BAD)
+        }
+        Err(e @ OptionsError::Wrong { .. }) => {
+            if let (true, OptionsError::Wrong { places, .. }) = (arguments.json, &e) {
+                let list = places.iter().map(|p| Finding { line: p.line, column: p.column, what: &p.what });
+                println!("{}", serde_json::json!({ "good": false, "findings": list.collect::<Vec<_>>() }));
+            } else {
+                eprintln!("{e}");
+            }
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn show(arguments: &Arguments, fates: Option<Vec<Fate>>) {
+    if arguments.json {
+        println!("{}", serde_json::json!({ "good": true, "owed": fates }));
+        return;
+    }
+    println!("{}: good", arguments.file.display());
+    let Some(fates) = fates else {
+        println!("nothing is switched on");
+        return;
+    };
+    println!("{:<10} {:<18} {:<17} {:<20} what becomes of it", "receiver", "class", "given up as", "rule");
+    for f in fates {
+        let receiver = f.receiver.map_or("others".into(), |r| r.to_string());
+        let rule = f.rule.as_deref().unwrap_or("none");
+        println!("{receiver:<10} {:<18} {:<17} {rule:<20} {}", f.class, f.reason.name(), f.fate);
+    }
+}
--- a/crates/sender/src/cli.rs
+++ b/crates/sender/src/cli.rs
@@ -1,6 +1,6 @@
 //! The command line.
 
-use crate::{daemon, rehearse};
+use crate::{check, daemon, rehearse};
 use clap::{Parser, Subcommand};
 use std::process::ExitCode;
 
@@ -18,16 +18,21 @@
 #[derive(Subcommand)]
 enum Command {
     /// Rehearse an evening: stand-in receivers, directory and clients around real senders, and a verdict.
-    Rehearse(rehearse::Arguments),
+    Rehearse(Box<rehearse::Arguments>),
+    /// Check an options file, and say what would become of what.
+    Check(check::Arguments),
 }
 
 /// Does what the process was started for; its exit code.
 pub fn main() -> ExitCode {
     // The daemon as the platform starts it reads no arguments at all.
     if std::env::args_os().len() > 1
-        && let Some(Command::Rehearse(arguments)) = Arguments::parse().command
+        && let Some(command) = Arguments::parse().command
     {
-        return rehearse::main(arguments);
+        return match command {
+            Command::Rehearse(arguments) => rehearse::main(*arguments),
+            Command::Check(arguments) => check::main(&arguments),
+        };
     }
     match daemon::run() {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/sender/src/daemon.rs
+++ b/crates/sender/src/daemon.rs
@@ -27,7 +27,7 @@
 const OWN_FILES: usize = 32;
 
 #[derive(Deserialize)]
-struct Config {
+pub(crate) struct Config {
     listen: SocketAddr,
     discovery: SocketAddr,
     #[serde(default)]
@@ -35,7 +35,7 @@
     #[serde(default)]
     limits: Limits,
     known: Option<Listing>,
-    settings: ProfileData,
+    pub(crate) settings: ProfileData,
 }
 
 #[derive(Deserialize)]
@@ -69,7 +69,7 @@
 }
 
 impl Config {
-    fn read(path: &Path) -> Result<Self, String> {
+    pub(crate) fn read(path: &Path) -> Result<Self, String> {
         let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
         serde_json::from_str(&text).map_err(|e| format!("{}: {e}", path.display()))
     }
--- a/crates/sender/src/lib.rs
+++ b/crates/sender/src/lib.rs
@@ -7,6 +7,7 @@
 #![forbid(unsafe_code)]
 
 mod calls;
+mod check;
 pub mod cli;
 mod clients;
 mod clock;
--- /dev/null
+++ b/crates/sender/tests/check.rs
@@ -0,0 +1,69 @@
+//! `embershore check`: its verdicts, its exit codes, and what it shows.
+
+use std::path::Path;
+use std::process::{Command, Output};
+
+const CONFIG: &str = r#"{"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","settings":{"Profiles":[
+    {"Name":"quota","Effect":"free","ObjectiveUs":1000000,"HardLimitUs":5000000},
+    {"Name":"response","Effect":"guarded","WindowUs":10000000,"HardLimitUs":24000000},
+    {"Name":"payout","Effect":"unsafe","HardLimitUs":28000000}]}}"#;
+
+fn check(folder: &Path, text: &str, more: &[&str]) -> (Option<i32>, String, String) {
+    std::fs::write(folder.join("config.json"), CONFIG).expect("written");
+    std::fs::write(folder.join("options.toml"), text).expect("written");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_embershore"));
+    command.current_dir(folder).env_remove("LB_CONFIG").args(["check", "options.toml"]).args(more);
+    let Output { status, stdout, stderr } = command.output().expect("it runs");
+    let text = |bytes| String::from_utf8(bytes).expect("text");
+    (status.code(), text(stdout), text(stderr))
+}
+
+const GOOD: &str = "[owed]\nmax_mb = 8\n\
+    [[owed.rule]]\nname = \"payouts of 7\"\nreceiver = [7]\nclass = [\"payout\"]\nowed_for = \"3days\"\n\
+    resend = { times = 5, gap = \"30s\", growth = 2.0, gap_most = \"1h\" }\n\
+    [[owed.rule]]\nname = \"counts\"\nclass = [\"quota\"]\nsupersede = true\n";
+
+#[test]
+fn a_good_file_is_shown_as_what_it_means() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let (code, out, err) = check(folder.path(), GOOD, &["--config", "config.json"]);
+    assert_eq!((code, err.as_str()), (Some(0), ""));
+    let line = |parts: &[&str]| {
+        let hit = out.lines().find(|l| parts.iter().all(|p| l.contains(p)));
+        assert!(hit.is_some(), "no line with {parts:?} in\n{out}");
+    };
+    line(&[
+        "7 ",
+        "payout",
+        "down",
+        "payouts of 7",
+        "5 times at most, 30s apart, growing to 1h, after 3days kept",
+    ]);
+    line(&["7 ", "payout", "may-have-run", "in doubt: waits for a word"]);
+    line(&["others", "payout", "down", "none", "not kept"]);
+    line(&["others", "quota", "may-have-run", "counts", "not sent again, dropped for a newer one"]);
+    let (code, out, _) = check(folder.path(), GOOD, &["--config", "config.json", "--json"]);
+    let read: serde_json::Value = serde_json::from_str(&out).expect("JSON");
+    assert_eq!((code, &read["good"]), (Some(0), &true.into()));
+    assert_eq!(read["owed"].as_array().map(Vec::len), Some(2 * 3 * 6), "receivers by classes by reasons");
+}
+
+#[test]
+fn a_bad_file_is_refused_with_its_places_and_another_exit_code_than_one_that_is_not_there() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let config = ["--config", "config.json"];
+    let bad = GOOD.replace("class = [\"quota\"]\n", "");
+    let (code, out, err) = check(folder.path(), &bad, &config);
+    assert_eq!((code, out.as_str()), (Some(1), ""));
+    assert!(
+        err.contains("options.toml:9:1: 'supersede'") && err.contains("'response' does not overwrite"),
+        "{err}"
+    );
+    let (code, out, _) = check(folder.path(), &bad, &["--config", "config.json", "--json"]);
+    let read: serde_json::Value = serde_json::from_str(&out).expect("JSON");
+    assert_eq!((code, &read["good"], &read["findings"][0]["line"]), (Some(1), &false.into(), &9.into()));
+    let (code, _, err) = check(folder.path(), GOOD, &["--config", "missing.json"]);
+    assert!(code == Some(2) && err.contains("missing.json"), "{code:?} {err}");
+    let (code, _, err) = check(folder.path(), GOOD, &[]);
+    assert!(code == Some(2) && err.contains("--config"), "the classes must come from somewhere: {err}");
+}
