--- a/src/logic.rs
+++ b/src/logic.rs
@@ -912,8 +912,8 @@
         (list, look)
     }
 
-    /// Guards against burning unsafe messages one by one: an endpoint that fails part of its calls answers the
-    /// rest, so that it looks well after each success. Repeatable messages find out, unsafe ones wait a while.
+    /// Guards against burning unsafe messages one by one: an endpoint that fails part of its calls answers
+    /// the rest, and looks well after each success. Repeatable messages find out, unsafe ones wait a while.
     fn burns_until(&self, id: EndpointId) -> Micros {
         let until = |e: &Endpoint| e.burnt_at + ((e.burnt / BURN_LIMIT).ln() * BURN_MEMORY) as Micros + 1;
         self.endpoints.get(&id).filter(|e| e.burnt > BURN_LIMIT).map_or(Micros::MIN, until)
