Endpoints that unsafe messages keep off are named once, where usable ones are listed

Seen on reading: whether an endpoint lately failed calls that may have run was worked out anew, with a logarithm, for each held message and endpoint in 'fits', and once more for the time to look again, although the list of usable endpoints already says which of them unsafe messages keep off.

Change: 'usable' marks such an endpoint careful and dates the next look, the choice carries the mark to the call, 'fits' is as it was before. That unsafe messages do not ride along in a call of several had no test; it has one, seen to fail.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -906,19 +906,16 @@
                 * more(!warm, 10.0 * self.set.handshake_price)
                 * more(matches!(e.lane, LaneKey::Route(_)), 100.0 * fee)
                 * more(e.trouble.is_some(), 9.0);
-            list.push((*id, careful, cost));
+            let burns = e.burns_until();
+            if burns > now {
+                look.at = look.at.min(burns);
+            }
+            list.push((*id, careful || burns > now, cost));
         }
         list.sort_by(|a, b| a.2.total_cmp(&b.2));
         (list, look)
     }
 
-    /// Guards against burning unsafe messages one by one: an endpoint that fails part of its calls answers
-    /// the rest, and looks well after each success. Repeatable messages find out, unsafe ones wait a while.
-    fn burns_until(&self, id: EndpointId) -> Micros {
-        let until = |e: &Endpoint| e.burnt_at + ((e.burnt / BURN_LIMIT).ln() * BURN_MEMORY) as Micros + 1;
-        self.endpoints.get(&id).filter(|e| e.burnt > BURN_LIMIT).map_or(Micros::MIN, until)
-    }
-
     fn doubtful(&self, e: &Endpoint) -> bool {
         e.trouble.is_some() || self.lanes.get(&e.lane).is_some_and(|l| l.latency.slow())
     }
@@ -932,9 +929,7 @@
     fn fits(&self, id: MsgId, endpoint: EndpointId, careful: bool) -> bool {
         let msg = &self.msgs[&id];
         let class = self.class(msg);
-        if !self.may_retry(id)
-            || (class.effect == Effect::SingleShot && (careful || self.now < self.burns_until(endpoint)))
-        {
+        if !self.may_retry(id) || (careful && class.effect == Effect::SingleShot) {
             return false;
         }
         if let Some(key) = msg.key.as_ref().and_then(|k| self.keys.get(k))
@@ -987,17 +982,16 @@
         for (_, id) in &order {
             let msg = &self.msgs[id];
             let ok = || list.iter().filter(|(e, careful, _)| self.fits(*id, *e, *careful));
-            if let Some((e, ..)) = ok().find(|(e, ..)| msg.avoid != Some(*e)).or(ok().next()) {
+            if let Some((e, careful, _)) = ok().find(|(e, ..)| msg.avoid != Some(*e)).or(ok().next()) {
                 let mean = self.lanes[&self.endpoints[e].lane].latency.mean();
-                return Some(Choice { rank: self.worth(msg, mean) / mean, id: *id, endpoint: *e });
+                let rank = self.worth(msg, mean) / mean;
+                return Some(Choice { rank, id: *id, endpoint: *e, careful: *careful });
             }
             let rest = msg.key.as_ref().and_then(|k| self.keys.get(k)).map_or(0, |k| k.rest_until);
             if rest > self.now {
                 look.at = look.at.min(rest);
             }
         }
-        let burns = list.iter().map(|(e, ..)| self.burns_until(*e)).filter(|at| *at > self.now);
-        look.at = burns.fold(look.at, Micros::min);
         if !look.slot {
             self.ready.remove(&dest);
         }
@@ -1028,7 +1022,7 @@
             // Sends only narrow what others may do, so only the best needs a second look.
             let still = self.candidate(dest);
             if still == Some(choice) {
-                self.send(choice.id, choice.endpoint, out);
+                self.send(choice, out);
             }
             match if still == Some(choice) { self.candidate(dest) } else { still } {
                 Some(c) => choices.insert(dest, c),
@@ -1056,13 +1050,13 @@
     /// One call: this message, and where the kind batches, others of the hold that may share its fate. Past
     /// an answer's ordinary time it lasts no longer than any of them: an answer that comes after one is over
     /// may speak for none.
-    fn send(&mut self, id: MsgId, endpoint: EndpointId, out: &mut Vec<Action>) {
-        let now = self.now;
+    fn send(&mut self, choice: Choice, out: &mut Vec<Action>) {
+        let (now, Choice { id, endpoint, careful, .. }) = (self.now, choice);
         let e = &self.endpoints[&endpoint];
         let (dest, kind, trial) = (e.dest, e.kind, e.trouble.is_some());
         let most = if trial { 1 } else { self.set.kinds.get(kind).map_or(1, |k| k.batch.max(1)) as usize };
         let others = self.dests[&dest].hold.iter().map(|(_, other)| *other);
-        let others = others.filter(|other| *other != id && self.fits(*other, endpoint, false));
+        let others = others.filter(|other| *other != id && self.fits(*other, endpoint, careful));
         let Some(lane) = self.lanes.get(&e.lane) else { return };
         let patience = (TIMEOUT * lane.latency.p99()).max(TIMEOUT_LEAST) as Micros;
         let left = |id: &MsgId| self.msgs[id].deadline - now;
@@ -1140,6 +1134,12 @@
     fn burnt_share(&self, now: Micros) -> f64 {
         self.burnt * (-((now - self.burnt_at) as f64) / BURN_MEMORY).exp()
     }
+    /// Guards against burning unsafe messages one by one: an endpoint that fails part of its calls answers
+    /// the rest, and looks well after each success. Repeatable messages find out, unsafe ones wait a while.
+    fn burns_until(&self) -> Micros {
+        let fades = (self.burnt / BURN_LIMIT).max(1.0).ln() * BURN_MEMORY;
+        if fades > 0.0 { self.burnt_at + fades as Micros + 1 } else { Micros::MIN }
+    }
 }
 
 impl Warm {
--- a/src/state.rs
+++ b/src/state.rs
@@ -192,4 +192,6 @@
     pub(crate) rank: f64,
     pub(crate) id: MsgId,
     pub(crate) endpoint: EndpointId,
+    /// Unsafe messages keep off that endpoint for now.
+    pub(crate) careful: bool,
 }
--- a/tests/design.rs
+++ b/tests/design.rs
@@ -311,6 +311,21 @@
     assert_eq!(w.pass(4 * S).len(), 1, "with no other word it is not barred for longer than a while");
 }
 
+#[test]
+fn unsafe_messages_do_not_ride_along_in_a_call_of_several_where_calls_just_failed() {
+    let mut w = World::new(settings(), vec![entry(1, 1, 1)]);
+    w.healthy(1000, 30, FREE, 1, 100 * MS);
+    let both = |first| [message(first, FREE, 1), message(first + 1, UNSAFE, 1)];
+    let sent = w.round(&both(1));
+    assert_eq!(sent.len(), 2, "in one call while all is well");
+    w.now += 50 * MS;
+    let ends: Vec<Event> = sent.iter().map(|o| w.end(o, Outcome::Error, 0)).collect();
+    w.round(&ends);
+    let ids = |sent: Vec<Out>| sent.iter().map(|o| o.id).collect::<Vec<_>>();
+    let next = ids(w.round(&both(11)));
+    assert!(!next.contains(&12), "{next:?}");
+}
+
 #[test]
 fn an_endpoint_that_answers_part_of_its_calls_is_not_benched() {
     // Two errors in a row are likely where half of the calls fail: those that may go again still gain by it.
