Owed store: what follows from its rows is not kept beside them; opening writes nothing

Seen on reading: each row carried its booked size, so that a row was encoded three times to be written once; opening a store that stands made a transaction and a sync for nothing; keeping one debt went by way of a list with a made-up error; a rule's place in the file was given out and used by nobody; a comment told of the pacer what was so no longer.

Change: the size is the row's length, its body's and the allowance; tables are begun only where there are none; the rest is gone. The form has not been released, so its version stays.

--- a/crates/owed/src/pace.rs
+++ b/crates/owed/src/pace.rs
@@ -4,7 +4,8 @@
 use heronroute::Micros;
 use std::collections::BTreeMap;
 
-/// Receivers that are remembered: those heard of last. One that is forgotten counts as not well until it is heard of.
+/// Receivers that are remembered: those heard of last. One that is forgotten counts as one that was
+/// never heard of.
 pub const RECEIVERS_MOST: usize = 10_000;
 /// Resends that may be saved up, in seconds of the rate: a pause must not be followed by a heap.
 const BURST: f64 = 1.0;
--- a/crates/owed/src/rules.rs
+++ b/crates/owed/src/rules.rs
@@ -202,9 +202,9 @@
         section.check(classes).map_err(RulesError::Wrong)
     }
 
-    /// The rule that holds for such a message, and its place in the file from 0.
-    pub fn rule_of(&self, dest: i64, class: &str, reason: Reason) -> Option<(usize, &Rule)> {
-        self.rules.iter().enumerate().find(|(_, r)| r.matches(dest, class, reason))
+    /// The rule that holds for such a message.
+    pub fn rule_of(&self, dest: i64, class: &str, reason: Reason) -> Option<&Rule> {
+        self.rules.iter().find(|r| r.matches(dest, class, reason))
     }
 
     /// The receivers that are named in any rule. All others fare alike.
@@ -214,12 +214,12 @@
 
     /// The rule that holds for a debt.
     pub fn of(&self, debt: &Debt) -> Option<&Rule> {
-        self.rule_of(debt.message.dest, &debt.message.class, debt.reason).map(|(_, rule)| rule)
+        self.rule_of(debt.message.dest, &debt.message.class, debt.reason)
     }
 
     /// Whether a message that ends so is to be kept. One that no rule speaks of is not.
     pub fn keeps(&self, dest: i64, class: &str, reason: Reason) -> bool {
-        self.rule_of(dest, class, reason).is_some_and(|(_, rule)| rule.keep)
+        self.rule_of(dest, class, reason).is_some_and(|rule| rule.keep)
     }
 }
 
--- a/crates/owed/src/store.rs
+++ b/crates/owed/src/store.rs
@@ -15,7 +15,9 @@
 use crate::debt::{Debt, DebtId, Reason, State};
 use bytes::Bytes;
 use heronroute::Micros;
-use redb::{Database, ReadableDatabase, ReadableTable, StorageBackend, TableDefinition, WriteTransaction};
+use redb::{
+    Database, ReadableDatabase, ReadableTable, StorageBackend, TableDefinition, TableError, WriteTransaction,
+};
 use serde::{Deserialize, Serialize};
 use std::path::Path;
 
@@ -90,8 +92,12 @@
     debt: Debt,
     /// When it is next looked at.
     due: Option<Micros>,
-    /// What it counts as in live bytes.
-    size: u64,
+}
+
+/// A row as it stands, and its bytes.
+struct Found {
+    row: Row,
+    length: u64,
 }
 
 /// What became of a message that was to be kept.
@@ -160,9 +166,18 @@
 
 const STATES: [&str; 3] = ["owed", "out", "settled"];
 
+fn damaged(number: u64) -> impl Fn(postcard::Error) -> StoreError {
+    move |e| StoreError::Damaged { number, why: e.to_string() }
+}
+
 fn read(number: u64, bytes: &[u8]) -> Result<Row, StoreError> {
-    let damaged = |e: postcard::Error| StoreError::Damaged { number, why: e.to_string() };
-    postcard::from_bytes(bytes).map_err(damaged)
+    postcard::from_bytes(bytes).map_err(damaged(number))
+}
+
+fn builder() -> redb::Builder {
+    let mut builder = redb::Builder::new();
+    builder.set_cache_size(CACHE);
+    builder
 }
 
 fn count(w: &WriteTransaction, debt: &Debt, more: bool) -> Result<(), StoreError> {
@@ -177,6 +192,20 @@
     Ok(())
 }
 
+/// All tables exist from the first moment on, so that reading needs no case for one that does not.
+fn begin(db: &Database) -> Result<(), StoreError> {
+    let w = db.begin_write()?;
+    w.open_table(META)?.insert("version", VERSION)?;
+    w.open_table(DEBTS)?;
+    w.open_table(BODIES)?;
+    w.open_table(REQUESTS)?;
+    w.open_table(DUE)?;
+    w.open_table(FACETS)?;
+    w.open_table(COUNTS)?;
+    w.commit()?;
+    Ok(())
+}
+
 impl Store {
     /// Opens the store in a file, or begins one. It is begun under another name and moved once it is whole: a file
     /// that a killed process left half made would open no more.
@@ -191,10 +220,10 @@
             return Err(redb::Error::Io(e).into());
         }
         if !path.try_exists().map_err(redb::Error::Io)? {
-            drop(Store::with(redb::Builder::new().set_cache_size(CACHE).create(&new)?, max_bytes)?);
+            drop(Store::with(builder().create(&new)?, max_bytes)?);
             std::fs::rename(&new, path).map_err(redb::Error::Io)?;
         }
-        Store::with(redb::Builder::new().set_cache_size(CACHE).create(path)?, max_bytes)
+        Store::with(builder().create(path)?, max_bytes)
     }
 
     /// The same on any backend: tests give one that fails on command.
@@ -202,27 +231,19 @@
     /// # Errors
     /// As [`Store::open`].
     pub fn on(backend: impl StorageBackend, max_bytes: u64) -> Result<Store, StoreError> {
-        Store::with(redb::Builder::new().set_cache_size(CACHE).create_with_backend(backend)?, max_bytes)
+        Store::with(builder().create_with_backend(backend)?, max_bytes)
     }
 
+    /// A store that stands is only read at its start: writing would cost a sync.
     fn with(db: Database, max_bytes: u64) -> Result<Store, StoreError> {
-        let w = db.begin_write()?;
-        {
-            let mut meta = w.open_table(META)?;
-            let found = meta.get("version")?.map_or(VERSION, |v| v.value());
-            if found > VERSION {
-                return Err(StoreError::Version { found });
-            }
-            meta.insert("version", VERSION)?;
-            // All tables exist from the first moment on, so that reading needs no case for one that does not.
-            w.open_table(DEBTS)?;
-            w.open_table(BODIES)?;
-            w.open_table(REQUESTS)?;
-            w.open_table(DUE)?;
-            w.open_table(FACETS)?;
-            w.open_table(COUNTS)?;
+        match db.begin_read()?.open_table(META) {
+            Ok(meta) => match meta.get("version")?.map_or(VERSION, |v| v.value()) {
+                found if found > VERSION => return Err(StoreError::Version { found }),
+                _ => {}
+            },
+            Err(TableError::TableDoesNotExist(_)) => begin(&db)?,
+            Err(e) => return Err(e.into()),
         }
-        w.commit()?;
         Ok(Store { db, most: max_bytes.saturating_sub(EMPTY) / SLACK })
     }
 
@@ -232,7 +253,10 @@
     /// # Errors
     /// When there is no room, or the disk fails: then it is not owed.
     pub fn keep(&self, debt: &Debt, due: Option<Micros>) -> Result<Kept, StoreError> {
-        self.keep_all([(debt, due)])?.pop().unwrap_or(Err(StoreError::Unknown { number: 0 }))
+        let w = self.db.begin_write()?;
+        let kept = self.enter(&w, debt, due)?;
+        w.commit()?;
+        Ok(kept)
     }
 
     /// Keeps many in one transaction, with one sync for all; in order, what became of each. One for which there is no
@@ -291,9 +315,9 @@
     /// When there is no such debt, or the disk fails: then it stays.
     pub fn remove(&self, id: DebtId) -> Result<(), StoreError> {
         let w = self.db.begin_write()?;
-        let row = self.row(&w, id.0)?;
+        let Found { row, length } = self.row(&w, id.0)?;
         w.open_table(DEBTS)?.remove(id.0)?;
-        w.open_table(BODIES)?.remove(id.0)?;
+        let body = w.open_table(BODIES)?.remove(id.0)?.map_or(0, |b| b.value().len() as u64);
         w.open_table(REQUESTS)?.remove(row.debt.message.request_id.as_str())?;
         let (dest, class, reason) = facet(&row.debt);
         w.open_table(FACETS)?.remove((dest, class, reason, id.0))?;
@@ -301,15 +325,16 @@
             w.open_table(DUE)?.remove((due, id.0))?;
         }
         count(&w, &row.debt, false)?;
-        self.weigh(&w, row.size, 0)?;
+        self.weigh(&w, length + body + OVERHEAD, 0)?;
         w.commit()?;
         Ok(())
     }
 
-    fn row(&self, w: &WriteTransaction, number: u64) -> Result<Row, StoreError> {
+    fn row(&self, w: &WriteTransaction, number: u64) -> Result<Found, StoreError> {
         let debts = w.open_table(DEBTS)?;
         let bytes = debts.get(number)?.ok_or(StoreError::Unknown { number })?;
-        read(number, bytes.value())
+        let bytes = bytes.value();
+        Ok(Found { row: read(number, bytes)?, length: bytes.len() as u64 })
     }
 
     /// Books live bytes. What becomes smaller, or stays, always fits: else a full store could settle nothing.
@@ -330,26 +355,19 @@
         number: u64,
         debt: &Debt,
         due: Option<Micros>,
-        before: Option<Row>,
+        before: Option<Found>,
     ) -> Result<(), StoreError> {
         let bare = crate::debt::Message { body: Bytes::new(), ..debt.message.clone() };
-        let (body, bare) = (debt.message.body.len() as u64, Debt { message: bare, ..debt.clone() });
-        let damaged = |e: postcard::Error| StoreError::Damaged { number, why: e.to_string() };
-        let mut row = Row { debt: bare, due, size: 0 };
-        // Its size is written along with it, and takes a few bytes itself.
-        let length = postcard::to_stdvec(&row).map_err(damaged)?.len() as u64;
-        // One that is written again may have been read with no body: what was booked for that stays.
-        let had = before.as_ref().map_or(0, |b| b.size);
-        row.size = match &before {
-            Some(before) => {
-                let was = postcard::to_stdvec(before).map_err(damaged)?.len() as u64;
-                (had + length).saturating_sub(was)
-            }
-            None => length + body + OVERHEAD,
-        };
-        self.weigh(w, had, row.size)?;
+        let row = Row { debt: Debt { message: bare, ..debt.clone() }, due };
+        let bytes = postcard::to_stdvec(&row).map_err(damaged(number))?;
+        let length = bytes.len() as u64;
+        match &before {
+            // What is booked for the body stays: the debt may have been read without it.
+            Some(before) => self.weigh(w, before.length, length)?,
+            None => self.weigh(w, 0, length + debt.message.body.len() as u64 + OVERHEAD)?,
+        }
         let mut dues = w.open_table(DUE)?;
-        if let Some(before) = &before {
+        if let Some(Found { row: before, .. }) = &before {
             count(w, &before.debt, false)?;
             if let Some(due) = before.due {
                 dues.remove((due, number))?;
@@ -359,7 +377,6 @@
         if let Some(due) = due {
             dues.insert((due, number), ())?;
         }
-        let bytes = postcard::to_stdvec(&row).map_err(damaged)?;
         w.open_table(DEBTS)?.insert(number, bytes.as_slice())?;
         Ok(())
     }
--- a/crates/owed/tests/rules.rs
+++ b/crates/owed/tests/rules.rs
@@ -96,7 +96,7 @@
         &classes(),
     )
     .expect("a good file");
-    let name = |dest, class, reason| rules.rule_of(dest, class, reason).map(|(_, r)| r.name.as_str());
+    let name = |dest, class, reason| rules.rule_of(dest, class, reason).map(|r| r.name.as_str());
     assert_eq!(name(4, "payout", Reason::Down), Some("none of 4"));
     assert_eq!(name(3, "payout", Reason::Down), Some("payouts"));
     assert_eq!(name(3, "payout", Reason::MayHaveRun), Some("rest"));
