Findings in files are told by one package, for scenarios and options files alike

Seen on reading: the options file came with a second copy of what the rehearsal's scenarios had: a finding with line and column, the lines that show findings, the way from a byte to its place, the bound on a file's length. 'check' had a third form of the finding for JSON, and the exit code for bad input stood twice.

Change: package embershore-finding, used by both; the exit code stands in cli.rs. A message of the TOML reader that has several lines is shown on one in options files too, as in scenarios; all other words are as before.

--- a/crates/options/tests/options.rs
+++ b/crates/options/tests/options.rs
@@ -48,7 +48,7 @@
     wrong("UTF-8");
     std::fs::write(&path, "[owed]\nmax_mb = 0\n").expect("written");
     let e = Options::read(&path, &classes()).expect_err("wrong");
-    assert!(matches!(&e, OptionsError::Wrong { places, .. } if places.len() == 1), "{e}");
+    assert!(matches!(&e, OptionsError::Wrong { findings, .. } if findings.len() == 1), "{e}");
     assert!(e.to_string().contains("options.toml:2:10: 'max_mb'"), "{e}");
     std::fs::write(&path, "[owed]\nmax_mb = 1\n").expect("written");
     assert!(Options::read(&path, &classes()).expect("good").owed.is_some());
--- a/crates/rehearsal/src/scenario.rs
+++ b/crates/rehearsal/src/scenario.rs
@@ -5,9 +5,9 @@
 use crate::facts::{self, Effect, Facts};
 use crate::plan::{Shape, Traffic};
 use crate::span::{Micros, Span};
+use embershore_finding::{Finding, Findings};
 use serde::Deserialize;
 use std::collections::BTreeSet;
-use std::fmt;
 use std::ops::Range;
 use std::path::{Path, PathBuf};
 use toml::Spanned;
@@ -19,17 +19,6 @@
 /// A scenario's file is no longer than this; shipped ones have 3 KiB.
 const FILE_MOST: u64 = 4 << 20;
 
-/// Something wrong in a scenario.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Finding {
-    /// The line, from 1.
-    pub line: usize,
-    /// The column, from 1.
-    pub column: usize,
-    /// What is wrong, and the mend.
-    pub what: String,
-}
-
 /// A scenario that can't be played.
 #[derive(Debug, thiserror::Error)]
 pub enum ScenarioError {
@@ -51,21 +40,6 @@
     },
 }
 
-struct Findings<'a> {
-    name: &'a str,
-    findings: &'a [Finding],
-}
-
-impl fmt::Display for Findings<'_> {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        for (n, finding) in self.findings.iter().enumerate() {
-            let end = if n + 1 < self.findings.len() { "\n" } else { "" };
-            write!(f, "{}:{}:{}: {}{end}", self.name, finding.line, finding.column, finding.what)?;
-        }
-        Ok(())
-    }
-}
-
 fn ms(n: i64) -> Span {
     Span::ms(n)
 }
@@ -594,8 +568,7 @@
 
 impl Checks<'_> {
     fn at(&mut self, span: Range<usize>, what: impl Into<String>) {
-        let (line, column) = place(self.text, span.start);
-        self.findings.push(Finding { line, column, what: what.into() });
+        self.findings.push(Finding::at(self.text, span.start, what));
     }
 
     fn whether(&mut self, good: bool, span: Range<usize>, what: impl Into<String>) {
@@ -605,13 +578,6 @@
     }
 }
 
-fn place(text: &str, at: usize) -> (usize, usize) {
-    let before = &text.as_bytes()[..at.min(text.len())];
-    let line = before.iter().filter(|b| **b == b'\n').count() + 1;
-    let start = before.iter().rposition(|b| *b == b'\n').map_or(0, |n| n + 1);
-    (line, String::from_utf8_lossy(&before[start..]).chars().count() + 1)
-}
-
 fn positive(x: f64) -> bool {
     x.is_finite() && x > 0.0
 }
@@ -627,13 +593,7 @@
     /// The file can't be read, or all that is wrong in it.
     pub fn read(path: &Path) -> Result<Scenario, ScenarioError> {
         let io = |error| ScenarioError::Io { path: path.into(), error };
-        let length = std::fs::metadata(path).map_err(io)?.len();
-        if length > FILE_MOST {
-            return Err(io(std::io::Error::other(format!(
-                "{length} bytes; a scenario has {FILE_MOST} at most"
-            ))));
-        }
-        let text = std::fs::read_to_string(path).map_err(io)?;
+        let text = embershore_finding::read(path, FILE_MOST, "a scenario").map_err(io)?;
         let folder = path.parent().unwrap_or(Path::new("."));
         Scenario::parse(&path.display().to_string(), &text, folder)
     }
@@ -644,10 +604,7 @@
     /// All that is wrong in it.
     pub fn parse(name: &str, text: &str, folder: &Path) -> Result<Scenario, ScenarioError> {
         let wrong = |findings| ScenarioError::Wrong { name: name.into(), findings };
-        let raw: Raw = toml::from_str(text).map_err(|e| {
-            let (line, column) = place(text, e.span().map_or(0, |s| s.start));
-            wrong(vec![Finding { line, column, what: e.message().replace('\n', "; ") }])
-        })?;
+        let raw: Raw = toml::from_str(text).map_err(|e| wrong(vec![Finding::of(text, &e)]))?;
         let mut checks = Checks { text, findings: Vec::new() };
         let scenario = build(raw, &mut checks, folder);
         if checks.findings.is_empty() { Ok(scenario) } else { Err(wrong(checks.findings)) }
--- a/crates/sender/src/check.rs
+++ b/crates/sender/src/check.rs
@@ -1,5 +1,6 @@
 //! `embershore check`: an options file is checked against a daemon's configuration, and shown as what it means.
 
+use crate::cli::BAD;
 use crate::daemon::Config;
 use clap::Args;
 use embershore_options::{Options, OptionsError};
@@ -10,9 +11,6 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
-/// What a shell is told when an argument or a file can't be read.
-const BAD: u8 = 2;
-
 const EXAMPLES: &str = "\
 Examples:
   embershore check options.toml --config config.json    against the classes of this configuration
@@ -49,20 +47,13 @@
     fate: String,
 }
 
-#[derive(Serialize)]
-struct Finding<'a> {
-    line: usize,
-    column: usize,
-    what: &'a str,
-}
-
-fn seconds(micros: i64) -> String {
+fn span(micros: i64) -> String {
     humantime::format_duration(std::time::Duration::from_micros(micros.max(0) as u64)).to_string()
 }
 
 /// In words, what a rule does with a message of this class that ended for this reason.
 fn fate(rules: &Rules, receiver: i64, class: &ClassFacts, reason: Reason) -> (Option<String>, String) {
-    let Some((_, rule)) = rules.rule_of(receiver, &class.name, reason) else {
+    let Some(rule) = rules.rule_of(receiver, &class.name, reason) else {
         return (None, "not kept".into());
     };
     let name = Some(rule.name.clone());
@@ -74,9 +65,9 @@
     if doubt && class.effect == Effect::SingleShot {
         words.push("in doubt: waits for a word".into());
     } else if let Some(r) = &rule.resend {
-        words.push(format!("sent again {} times at most, {} apart", r.times, seconds(r.gap)));
+        words.push(format!("sent again {} times at most, {} apart", r.times, span(r.gap)));
         if r.growth > 1.0 {
-            words.push(format!("growing to {}", seconds(r.gap_most)));
+            words.push(format!("growing to {}", span(r.gap_most)));
         }
         if doubt && class.effect == Effect::Guarded {
             words.push("while its key is remembered, then in doubt".into());
@@ -87,12 +78,12 @@
     if rule.supersede {
         words.push("dropped for a newer one".into());
     }
-    if let Some(span) = rule.owed_for {
+    if let Some(owed_for) = rule.owed_for {
         let then = match rule.then {
             Then::Keep => "kept for inspection",
             Then::Drop => "taken out",
         };
-        words.push(format!("after {} {then}", seconds(span)));
+        words.push(format!("after {} {then}", span(owed_for)));
     }
     (name, words.join(", "))
 }
@@ -141,19 +132,18 @@
             show(arguments, fates);
             ExitCode::SUCCESS
         }
-        Err(e @ OptionsError::Io { .. }) => {
-            eprintln!("embershore check: {e}");
-            ExitCode::from(BAD)
+        Err(OptionsError::Wrong { findings, .. }) if arguments.json => {
+            println!("{}", serde_json::json!({ "good": false, "findings": findings }));
+            ExitCode::FAILURE
         }
         Err(e @ OptionsError::Wrong { .. }) => {
-            if let (true, OptionsError::Wrong { places, .. }) = (arguments.json, &e) {
-                let list = places.iter().map(|p| Finding { line: p.line, column: p.column, what: &p.what });
-                println!("{}", serde_json::json!({ "good": false, "findings": list.collect::<Vec<_>>() }));
-            } else {
-                eprintln!("{e}");
-            }
+            eprintln!("{e}");
             ExitCode::FAILURE
         }
+        Err(e @ OptionsError::Io { .. }) => {
+            eprintln!("embershore check: {e}");
+            ExitCode::from(BAD)
+        }
     }
 }
 
--- a/crates/sender/src/cli.rs
+++ b/crates/sender/src/cli.rs
@@ -4,6 +4,9 @@
 use clap::{Parser, Subcommand};
 use std::process::ExitCode;
 
+/// What a shell is told when arguments, or a file that they name, can't be used.
+pub(crate) const BAD: u8 = 2;
+
 /// Takes messages from clients and delivers them to outside receivers.
 ///
 /// Without arguments it is the daemon: LB_CONFIG names its JSON configuration and LB_STATE a folder that outlasts
--- a/crates/sender/src/rehearse.rs
+++ b/crates/sender/src/rehearse.rs
@@ -1,5 +1,6 @@
 //! `embershore rehearse`: the command line of the rehearsal kit.
 
+use crate::cli::BAD;
 use crate::matrix::{self, Matrix};
 use clap::{Args, Subcommand};
 use embershore_rehearsal::capture::{Tap, capture};
@@ -15,9 +16,6 @@
 use std::process::ExitCode;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-/// What a shell is told when arguments, a scenario or a file is wrong.
-const BAD: u8 = 2;
-
 const EXAMPLES: &str = "\
 Examples:
   embershore rehearse                               the built-in evening rush, about a minute
