--- a/crates/owed/benches/cost.rs
+++ b/crates/owed/benches/cost.rs
@@ -1,9 +1,11 @@
 //! What a debt costs: on disk, in memory, at the start, in a list. `cargo bench -p embershore-owed`, with sizes as
-//! arguments behind `--`; each size in a process of its own, so that memory is that of one store.
+//! arguments behind `--`; each store is filled by one process and
+//! measured by another, so that memory is that of an open store alone.
 
 use bytes::Bytes;
 use embershore_owed::store::Filter;
 use embershore_owed::{Attempt, Debt, Ending, Message, Reason, Store};
+use std::path::Path;
 use std::process::Command;
 use std::time::Instant;
 
@@ -35,12 +37,13 @@
     Debt::new(message, attempts, Reason::ALL[n as usize % 6], n as i64)
 }
 
-fn one(size: u64) -> Result<(), Box<dyn std::error::Error>> {
-    let folder = tempfile::tempdir()?;
-    let path = folder.path().join("owed");
-    let most = 64_000_000 + size * 8_000;
+fn most(size: u64) -> u64 {
+    64_000_000 + size * 8_000
+}
+
+fn fill(path: &Path, size: u64) -> Result<(), Box<dyn std::error::Error>> {
     let begun = Instant::now();
-    let store = Store::open(&path, most)?;
+    let store = Store::open(path, most(size))?;
     let mut n = 0;
     while n < size {
         let batch: Vec<Debt> = (n..size.min(n + BATCH)).map(debt).collect();
@@ -49,15 +52,17 @@
             became?;
         }
     }
-    let filled = begun.elapsed();
-    let (live, _) = store.room()?;
-    drop(store);
-    let disk = std::fs::metadata(&path)?.len();
+    eprintln!("{size} debts kept, {BATCH} a transaction, in {:.1} s", begun.elapsed().as_secs_f64());
+    Ok(())
+}
 
+fn measure(path: &Path, size: u64) -> Result<(), Box<dyn std::error::Error>> {
+    let disk = std::fs::metadata(path)?.len();
     let before = anonymous();
     let begun = Instant::now();
-    let store = Store::open(&path, most)?;
+    let store = Store::open(path, most(size))?;
     let opened = begun.elapsed();
+    let (live, _) = store.room()?;
     let timed = |filter: Filter, most: usize| -> Result<_, Box<dyn std::error::Error>> {
         let begun = Instant::now();
         let found = store.list(&filter, most)?.debts.len();
@@ -74,7 +79,7 @@
     single?;
     let memory = anonymous().saturating_sub(before);
     println!(
-        "{size:>9} {:>9.0} {:>9.0} {:>8.2} {:>9.1} {:>9.1} {:>9.1} {:>9.1} {:>9.2} {:>8.1}",
+        "{size:>9} {:>9.0} {:>9.0} {:>8.2} {:>9.1} {:>9.1} {:>9.1} {:>9.1} {:>9.2}",
         disk as f64 / size as f64,
         live as f64 / size as f64,
         memory as f64 / 1e6,
@@ -83,7 +88,6 @@
         reason.as_secs_f64() * 1e3,
         counted.as_secs_f64() * 1e3,
         kept.as_secs_f64() * 1e3,
-        filled.as_secs_f64(),
     );
     if found == 0 || sorts == 0 {
         return Err("the store is empty".into());
@@ -92,28 +96,25 @@
 }
 
 fn main() -> Result<(), Box<dyn std::error::Error>> {
-    if let Ok(size) = std::env::var("OWED_SIZE") {
-        return one(size.parse()?);
+    if let (Ok(path), Ok(size)) = (std::env::var("OWED_PATH"), std::env::var("OWED_SIZE")) {
+        let (path, size) = (Path::new(&path), size.parse()?);
+        return if path.exists() { measure(path, size) } else { fill(path, size) };
     }
     let sizes: Vec<u64> = std::env::args().filter_map(|a| a.parse().ok()).collect();
     let sizes = if sizes.is_empty() { vec![1_000, 100_000] } else { sizes };
     println!(
-        "{:>9} {:>9} {:>9} {:>8} {:>9} {:>9} {:>9} {:>9} {:>9} {:>8}",
-        "debts",
-        "disk B",
-        "booked B",
-        "MB",
-        "open ms",
-        "by rcv ms",
-        "by why ms",
-        "counts ms",
-        "keep ms",
-        "fill s"
+        "{:>9} {:>9} {:>9} {:>8} {:>9} {:>9} {:>9} {:>9} {:>9}",
+        "debts", "disk B", "booked B", "MB", "open ms", "by rcv ms", "by why ms", "counts ms", "keep ms"
     );
     for size in sizes {
-        let status = Command::new(std::env::current_exe()?).env("OWED_SIZE", size.to_string()).status()?;
-        if !status.success() {
-            return Err(format!("{size} debts: {status}").into());
+        let folder = tempfile::tempdir()?;
+        for _ in ["fill", "measure"] {
+            let mut command = Command::new(std::env::current_exe()?);
+            command.env("OWED_SIZE", size.to_string()).env("OWED_PATH", folder.path().join("owed"));
+            let status = command.status()?;
+            if !status.success() {
+                return Err(format!("{size} debts: {status}").into());
+            }
         }
     }
     Ok(())
