Discovery that costs work to ask is asked in turns, at random, from the version in hand

All senders asked at their start, the whole list and then the watch; 100 watches broke at 0.07 s; from then on everyone came again after 0.1, 0.2 .. 2 s, and each answer stood in line for longer than its two seconds. Endpoints replaced during the release were never learnt: from 18 s on most calls were refused connections, 60% of messages were returned. At fault: discovery.rs `follow` (first question at once, doubling without jitter up to 2 s) and `watch` (forgot its version on any failure, so that each retry was two calls).

With a list in hand the sender does not wait for discovery before it serves. Where changes come unasked, only the jitter is new.

--- a/crates/protocol/src/settings.rs
+++ b/crates/protocol/src/settings.rs
@@ -74,6 +74,7 @@
     drain_grace_us: Micros,
     fall_multiple: Option<f64>,
     fall_us: Option<Micros>,
+    ask_every_us: Option<Micros>,
     cold_from: Option<f64>,
     warm_up_us: Option<Micros>,
     order_settle_us: Micros,
@@ -105,6 +106,7 @@
 pub struct ProfileData {
     azs: Vec<String>,
     balancers: Option<u32>,
+    discovery: String,
     customers: Option<Vec<Customer>>,
     family_info: FamilyInfo,
     limits: Limits,
@@ -135,6 +137,11 @@
         self.limits.connect_timeout_us
     }
 
+    /// Where discovery tells changes only to those that ask, which costs it work: how often a sender asks at most.
+    pub fn ask_every(&self) -> Option<Micros> {
+        self.rules.ask_every_us.filter(|_| self.discovery == "ask")
+    }
+
     /// Puts the wire's settings into the library's words; where the wire is silent, its defaults stand.
     pub fn settings(self) -> Settings {
         let d = Settings::default();
--- /dev/null
+++ b/crates/sender/src/asking.rs
@@ -0,0 +1,128 @@
+//! When discovery is asked, and when again: decided without I/O, with spans as parameters.
+//!
+//! One sender that asks at its start and again after 100 ms does no harm. A hundred that are released together do:
+//! where a question costs discovery work, it takes seconds to answer one of each, answers those that had to wait for
+//! longer with an error, and all of them come again at once. So each waits for a random part of the span in which
+//! the settings want to be asked, and comes again after a random part of a growing one.
+
+use std::time::Duration;
+
+/// The first and the longest pause after a failure, where asking costs discovery nothing.
+const RETRY_FIRST: Duration = Duration::from_millis(100);
+const RETRY_MOST: Duration = Duration::from_secs(2);
+/// Part of the span between two questions over which the first ones of many senders are spread: what is left is for
+/// those that must ask twice.
+const SPREAD: f64 = 0.8;
+/// Part of that span after which a question that came to nothing is first asked again.
+const AGAIN: f64 = 0.4;
+/// A pause is at least this part of its longest, so that one failure is never followed at once by the next.
+const LEAST: f64 = 0.5;
+
+/// The pauses of one sender between its questions to discovery.
+#[derive(Debug)]
+pub struct Asking {
+    /// How often discovery is to be asked at most, where asking costs it work.
+    every: Option<Duration>,
+    random: u64,
+    pause: Duration,
+}
+
+impl Asking {
+    /// `every` as the settings tell it; none where discovery tells changes unasked. The seed is what sets one sender
+    /// apart from the next.
+    pub fn new(every: Option<Duration>, seed: u64) -> Self {
+        let every = every.filter(|e| !e.is_zero());
+        // Neighbouring seeds give unlike numbers only after a step that mixes all of their bits.
+        let random = seed.wrapping_add(0x9e37_79b9_7f4a_7c15).wrapping_mul(0xbf58_476d_1ce4_e5b9) | 1;
+        let mut asking = Asking { every, random, pause: Duration::ZERO };
+        asking.heard();
+        asking
+    }
+
+    /// Whether a question costs discovery work.
+    pub fn is_dear(&self) -> bool {
+        self.every.is_some()
+    }
+
+    /// How long to wait with a question that many senders may have at the same moment: at a start with a list in
+    /// hand, and when a watch that was well has ended.
+    pub fn together(&mut self) -> Duration {
+        let chance = self.chance();
+        self.every.map_or(Duration::ZERO, |e| e.mul_f64(SPREAD * chance))
+    }
+
+    /// A question came to nothing: how long to wait before the next.
+    pub fn failed(&mut self) -> Duration {
+        let wait = self.pause.mul_f64(LEAST + (1.0 - LEAST) * self.chance());
+        self.pause = (self.pause * 2).min(self.every.unwrap_or(RETRY_MOST));
+        wait
+    }
+
+    /// A watch that was well has ended: what ended it may have ended those of all senders.
+    pub fn ended(&mut self) -> Duration {
+        self.heard();
+        if self.is_dear() { self.together() } else { self.failed() }
+    }
+
+    /// Discovery has told something, or is another one.
+    pub fn heard(&mut self) {
+        self.pause = self.every.map_or(RETRY_FIRST, |e| e.mul_f64(AGAIN));
+    }
+
+    /// A random figure from 0 to 1.
+    fn chance(&mut self) -> f64 {
+        self.random ^= self.random << 13;
+        self.random ^= self.random >> 7;
+        self.random ^= self.random << 17;
+        (self.random >> 11) as f64 / (1u64 << 53) as f64
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const EVERY: Duration = Duration::from_secs(10);
+
+    fn fleet() -> impl Iterator<Item = Asking> {
+        (0..100).map(|seed| Asking::new(Some(EVERY), seed))
+    }
+
+    #[test]
+    fn a_hundred_first_questions_spread_over_the_span() {
+        let mut waits: Vec<_> = fleet().map(|mut a| a.together()).collect();
+        waits.sort();
+        assert!(waits[99] <= EVERY.mul_f64(SPREAD), "{waits:?}");
+        // No second of the eight takes more than twice its part.
+        for from in 0..8 {
+            let within = |w: &&Duration| (from..from + 1).contains(&w.as_secs());
+            let count = waits.iter().filter(within).count();
+            assert!((4..=25).contains(&count), "second {from}: {count} of 100");
+        }
+    }
+
+    #[test]
+    fn failures_grow_the_pause_up_to_the_span_and_never_in_step() {
+        for (n, mut asking) in fleet().enumerate() {
+            let waits: Vec<_> = (0..5).map(|_| asking.failed()).collect();
+            let most = [4, 8, 10, 10, 10].map(Duration::from_secs);
+            for (wait, most) in waits.iter().zip(most) {
+                assert!(*wait >= most / 2 && *wait <= most, "sender {n}: {waits:?}");
+            }
+            asking.heard();
+            assert!(asking.failed() <= EVERY.mul_f64(AGAIN));
+        }
+        let mut firsts: Vec<_> = fleet().map(|mut a| a.failed()).collect();
+        firsts.sort();
+        firsts.dedup();
+        assert_eq!(firsts.len(), 100);
+    }
+
+    #[test]
+    fn where_asking_costs_nothing_the_first_question_goes_at_once() {
+        let mut asking = Asking::new(None, 7);
+        assert_eq!(asking.together(), Duration::ZERO);
+        let waits: Vec<_> = (0..8).map(|_| asking.failed()).collect();
+        assert!(waits[0] <= RETRY_FIRST && waits[7] >= RETRY_MOST / 2 && waits[7] <= RETRY_MOST, "{waits:?}");
+    }
+}
--- a/crates/sender/src/daemon.rs
+++ b/crates/sender/src/daemon.rs
@@ -1,5 +1,6 @@
 //! The daemon: reads its configuration, puts its parts together and runs them.
 
+use crate::asking::Asking;
 use crate::clock::Clock;
 use crate::driver::{Driver, Parts};
 use crate::input::{Input, Phase};
@@ -19,6 +20,8 @@
 
 const CONNECT_TIMEOUT: i64 = 1_500_000;
 const LAST_WRITES: Duration = Duration::from_millis(20);
+/// How long a new start waits for discovery's word before it goes by the list it was given.
+const LIST_WAIT: Duration = Duration::from_millis(500);
 /// Inputs that wait for the driver; whoever has more waits in turn.
 const INPUTS_MOST: usize = 1024;
 /// Descriptors for all but clients and endpoints: the standard streams, the event queue and its signals, the
@@ -105,6 +108,7 @@
 
     let names = config.settings.names();
     let connect_timeout = config.settings.connect_timeout().unwrap_or(CONNECT_TIMEOUT).max(1);
+    let ask_every = config.settings.ask_every().map(|every| Duration::from_micros(every.max(0) as u64));
     let settings = config.settings.settings();
     let fleet = Rc::new(RefCell::new(fleet::Fleet::new(names.clone())));
     let calls = calls::Calls::new(
@@ -119,10 +123,18 @@
     let (discovery, follow_discovery) = watch::channel(config.discovery);
     let listener =
         TcpListener::bind(config.listen).await.map_err(|e| format!("listen on {}: {e}", config.listen))?;
-    let index = config.known.as_ref().map_or(0, |l| l.index);
+    // A version of nought means that there is no list yet, unless one was given with it.
+    let index =
+        config.known.as_ref().filter(|l| l.index > 0 || (ask_every.is_some() && !l.endpoints.is_empty()));
+    let index = index.map(|l| l.index);
+    let seed = u64::from_str_radix(&config.seed, 16).unwrap_or(0);
+    let asking = Asking::new(ask_every, seed);
+    // Where many senders take turns in asking, the list that was given must do at first.
+    let list_wait = if asking.is_dear() { Duration::ZERO } else { LIST_WAIT };
     let driver = Driver::new(Parts {
         clock: Clock::start(),
-        seed: u64::from_str_radix(&config.seed, 16).unwrap_or(0),
+        seed,
+        list_wait,
         settings,
         names,
         journal,
@@ -133,7 +145,13 @@
         phase,
     })?;
     tokio::task::spawn_local(clients::serve(listener, config.limits.clients(), inputs.clone(), follow_phase));
-    tokio::task::spawn_local(discovery::follow(follow_discovery.clone(), index, fleet, inputs.clone()));
+    tokio::task::spawn_local(discovery::follow(
+        follow_discovery.clone(),
+        index,
+        asking,
+        fleet,
+        inputs.clone(),
+    ));
     tokio::task::spawn_local(notices::send(follow_discovery, queue, inputs.clone()));
     tokio::task::spawn_local(reload(path, hang_up, discovery));
     tokio::task::spawn_local(async move {
--- a/crates/sender/src/driver.rs
+++ b/crates/sender/src/driver.rs
@@ -20,8 +20,6 @@
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot, watch};
 
-/// How long a new start waits for discovery's word before it goes by the list it was given.
-const LIST_WAIT: Micros = 500_000;
 /// After SIGTERM: clients still connect for this long ...
 const CLOSE_CLIENTS_AFTER: Micros = 450_000;
 /// ... calls have this long to end ...
@@ -47,6 +45,8 @@
 pub struct Parts {
     pub clock: Clock,
     pub seed: u64,
+    /// How long to wait for discovery's word where a list was given with the configuration.
+    pub list_wait: Duration,
     pub settings: Settings,
     pub names: Names,
     pub journal: Journal,
@@ -67,6 +67,7 @@
     /// For each class: the longest time that a message may have.
     deadlines: Vec<Micros>,
     quantum: Micros,
+    list_wait: Duration,
     max_open: usize,
     /// When a client is to come again that finds no room: as the module tells those that it refuses.
     come_again_ms: u64,
@@ -89,7 +90,8 @@
 
 impl Driver {
     pub fn new(parts: Parts) -> Result<Self, heronroute::SettingsError> {
-        let Parts { clock, seed, settings, names, journal, fleet, calls, notices, inputs, phase } = parts;
+        let Parts { clock, seed, list_wait, settings, names, journal, fleet, calls, notices, inputs, phase } =
+            parts;
         let (kinds, quantum, max_open) =
             (settings.kinds.clone(), settings.quantum, settings.max_open as usize);
         let guarded = settings.classes.iter().zip(&names.classes);
@@ -105,6 +107,7 @@
             names,
             kinds,
             quantum,
+            list_wait,
             max_open,
             come_again_ms,
             journal: Rc::new(RefCell::new(journal)),
@@ -174,7 +177,7 @@
         inbox: &mut mpsc::Receiver<Input>,
         known: Option<Listing>,
     ) -> Option<Vec<Input>> {
-        let deadline = self.clock.instant(self.clock.now() + LIST_WAIT);
+        let deadline = tokio::time::Instant::now() + self.list_wait;
         let known = known.filter(|l| !l.endpoints.is_empty());
         let listed = known.is_some();
         if let Some(mut list) = known {
--- a/crates/sender/src/lib.rs
+++ b/crates/sender/src/lib.rs
@@ -6,6 +6,7 @@
 #![warn(missing_docs)]
 #![forbid(unsafe_code)]
 
+mod asking;
 mod calls;
 mod check;
 pub mod cli;
