--- a/crates/sender/tests/common/mod.rs
+++ b/crates/sender/tests/common/mod.rs
@@ -190,6 +190,8 @@
     paths: Vec<String>,
     index: u64,
     whole_at: u64,
+    /// Questions that are answered with 503.
+    turned_away: usize,
 }
 
 /// Discovery and the platform's ear for notices.
@@ -211,6 +213,7 @@
             paths: Vec::new(),
             index: 7,
             whole_at: 0,
+            turned_away: 0,
         };
         let platform = Platform {
             addr,
@@ -241,6 +244,11 @@
                         }
                         let mut w = watchers.lock().unwrap();
                         w.paths.push(request.line.clone());
+                        if w.turned_away > 0 {
+                            w.turned_away -= 1;
+                            _ = stream.write_all(b"HTTP/1.1 503 X\r\ncontent-length: 0\r\n\r\n");
+                            continue;
+                        }
                         if !request.line.contains("follow") {
                             let list = json!({"index": w.index, "snapshot": true, "endpoints": w.whole});
                             let list = list.to_string();
@@ -296,6 +304,11 @@
         }
     }
 
+    /// Answers the next questions for the list with 503.
+    pub fn turn_away(&self, questions: usize) {
+        self.watchers.lock().unwrap().turned_away = questions;
+    }
+
     /// Sets the version of the list, as told next.
     pub fn set_index(&self, index: u64) {
         self.watchers.lock().unwrap().index = index;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -39,7 +39,7 @@
 /// An equal part of what a destination states counts up to this multiple of a sender's own traffic and this
 /// share of itself: neither a wrong number of senders nor a limit above what it can do adds up to much more.
 const TRUST: f64 = 1.25;
-const QUIET: f64 = 0.08;
+const QUIET: f64 = 0.1;
 const FEW: f64 = 2.0; // so few senders' trials do no harm by their number
 const LIMIT_LEAST: f64 = 3.0; // calls a second that any destination takes, where no limit is told
 const COLD_AFTER: Micros = 1_500_000; // trouble this long may have been an outage: the return is paced
@@ -56,14 +56,11 @@
 const FAIR_LEAST: f64 = 1.0; // with a known limit the least stays within this multiple of an equal part ...
 const FAIR_GROWTH: f64 = 0.5; // ... and growth goes by this multiple, so that many budgets leave it room,
 const DONE_GROWTH: f64 = 0.07; // and by this share for each call accepted
-/// With many senders, of whom none sees much: a refusal halves a budget, from an equal part of the limit (or
-/// this sender's own demand, if that is more), down to this share of an equal part.
-const TURN_CUT: f64 = 0.5;
-const TURN_LEAST: f64 = 0.12;
-/// With many, calls are spaced from the first on, where several messages share one to this share of an equal
-/// part: half a second's wait, well within any aim, fills calls and keeps clear even of half the limit.
+/// With many senders, of whom none sees much, calls that several messages may share are spaced from the
+/// first on, to this share of an equal part of the limit: half a second's wait, well within any aim, fills
+/// calls and keeps the fleet clear even of half the limit. No spacing is wider than the shortest aim.
 const LINGER: f64 = 0.45;
-const BATCH_FILL: f64 = 0.7; // share of a batch that a sender with more traffic may count on
+const BATCH_FILL: f64 = 0.7; // share of a batch on which a sender with much traffic counts
 const QUEUE_SLACK: f64 = 1.5; // with no limit known the cut starts from this multiple of what was accepted
 const LIMIT_PART: f64 = 0.95; // share of a known limit that is used at most
 const ROUGH: f64 = 1.5; // a rough weight may be too low by this factor: refusals teach the rest
@@ -155,10 +152,7 @@
     /// When the settings hold a figure with which it cannot work.
     pub fn new(now: Micros, seed: u64, settings: Settings) -> Result<Self, SettingsError> {
         settings.validate()?;
-        // Neighbouring seeds give like numbers at first: senders that restart together would act in one instant.
-        let mixed = (seed ^ (seed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-        let mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-        let (random, wake) = ((mixed ^ (mixed >> 31)) | 1, Micros::MIN);
+        let (random, wake) = (seed | 1, Micros::MIN);
         Ok(Dispatcher { now, random, wake, set: settings, ..Dispatcher::default() })
     }
 
@@ -463,7 +457,6 @@
             return;
         }
         let (gap, few) = (self.trial_gap(id), self.few());
-        let chance = if outcome == Outcome::Busy { self.chance() } else { 0.0 };
         self.idle.insert(id);
         self.refresh(self.endpoints.get(&id).map_or_else(DestId::default, |e| e.dest));
         let Some(e) = self.endpoints.get_mut(&id) else { return };
@@ -529,16 +522,8 @@
                     let fair = top / self.set.senders as f64 * FAIR_LEAST;
                     let least = (own * BUDGET_LEAST).min(fair).max(0.01);
                     let from = lane.budget.min(top).min((lane.accepted.get(now) * slack).max(least));
-                    let alone = (from * BUDGET_CUT).max(least);
-                    // Many who were refused at once must neither come again at once, nor all be late: each
-                    // takes its turn at a random time of its own. A lane that may be out is left to its trials.
-                    let turn = top / self.set.senders as f64;
-                    let whole = lane.bad.is_none() && lane.back.is_none() && e.trouble.is_none();
-                    let many = if whole && turn.is_finite() { 1.0 - few } else { 0.0 };
-                    let turns = (lane.budget.min(own.max(turn)) * TURN_CUT).max(turn * TURN_LEAST);
-                    lane.budget = if many > 0.0 { alone + many * (turns - alone) } else { alone };
-                    let phase = chance - lane.budget * wait as f64 / 1e6;
-                    lane.tokens = lane.tokens.min(many * phase);
+                    lane.budget = (from * BUDGET_CUT).max(least);
+                    lane.tokens = lane.tokens.min(0.0);
                 }
             }
             // A full table of connections is no outage: it answered while the call was out. Idle ones go.
@@ -590,7 +575,10 @@
     /// Guards against many senders' trials adding up: they come at random times, by this sender's part of the
     /// traffic, so that all together stay near what a cold destination takes. Slow to see a return.
     fn trial_gap(&mut self, id: EndpointId) -> f64 {
-        let chance = self.chance();
+        self.random ^= self.random << 13;
+        self.random ^= self.random >> 7;
+        self.random ^= self.random << 17;
+        let chance = (self.random >> 11) as f64 / (1u64 << 53) as f64;
         // Few senders' trials are held by the time between them: there a quiet one asks as often as the rest.
         let few = self.few();
         let part = |e: &Endpoint| self.part(e).max(self.equal(e) * few) / self.ways(e);
@@ -598,14 +586,6 @@
         2.0 * chance * 1e6 / (TRIAL_SHARE * self.set.cold_from * self.set.fall_multiple * own).max(1e-3)
     }
 
-    /// A random figure from 0 to 1.
-    fn chance(&mut self) -> f64 {
-        self.random ^= self.random << 13;
-        self.random ^= self.random >> 7;
-        self.random ^= self.random << 17;
-        (self.random >> 11) as f64 / (1u64 << 53) as f64
-    }
-
     /// From 1, with two senders at most, down to nothing with many: how little their number weighs.
     fn few(&self) -> f64 {
         (FEW / self.set.senders as f64).powi(2).min(1.0)
@@ -779,6 +759,7 @@
         let ill: BTreeSet<LaneKey> = sick.filter(|e| e.trouble.is_some()).map(|e| e.lane).collect();
         let (from, warm_up, few) = (self.set.cold_from, self.set.warm_up, self.few());
         let senders = self.set.senders as f64;
+        let shortest = self.set.classes.iter().map(|c| c.aim).min().unwrap_or(self.plain.aim).max(1) as f64;
         for id in &d.endpoints {
             let (usual, ways) = self.endpoints.get(id).map_or((0.0, 1.0), |e| (self.part(e), self.ways(e)));
             let Some(e) = self.endpoints.get_mut(id) else { continue };
@@ -792,9 +773,10 @@
             }
             let batch = self.set.kinds.get(e.kind).map_or(1.0, |k| k.batch.max(1) as f64);
             let spaced = match lane.limit {
-                Some(l) if batch > 1.0 => (l / senders * LINGER).max(own / (batch * BATCH_FILL)) + l * few,
-                Some(l) => (l / senders).max(own) + l * few,
-                None => f64::INFINITY,
+                Some(l) if batch > 1.0 => {
+                    (l / senders * LINGER).max(own / (batch * BATCH_FILL)).max(1e6 / shortest) + l * few
+                }
+                _ => f64::INFINITY,
             };
             lane.pace = lane.budget.min(cap).min(spaced).min(UNPACED);
             lane.tokens = (lane.tokens + lane.pace * dt).min((lane.pace * BURST).max(1.0));
