The models' random numbers stand in one place

Need: the fleet model had written the return model's generator again. It is in tests/common/mod.rs now, for both.

--- a/tests/common/fleet.rs
+++ b/tests/common/fleet.rs
@@ -3,7 +3,7 @@
 //! turns away uses the limit up like any other, down to as much below nothing. A fleet that offers more than the
 //! limit is so served nothing at all, however long it goes on.
 
-use crate::common::{MS, S, entry, settings};
+use crate::common::{MS, Rng, S, entry, settings};
 use heronroute::*;
 use std::collections::BTreeMap;
 
@@ -76,17 +76,6 @@
 const WAIT_LEAST: f64 = 0.3;
 const LIVES: Micros = 10 * S;
 
-struct Rng(u64);
-
-impl Rng {
-    fn unit(&mut self) -> f64 {
-        self.0 ^= self.0 << 13;
-        self.0 ^= self.0 >> 7;
-        self.0 ^= self.0 << 17;
-        (self.0 >> 11) as f64 / (1u64 << 53) as f64
-    }
-}
-
 struct Bucket {
     tokens: f64,
     filled: Micros,
--- a/tests/common/herd.rs
+++ b/tests/common/herd.rs
@@ -2,7 +2,7 @@
 //! what pushes it over. The receiver is counted as the rules have it: within any fall window no more than the
 //! multiple of what it can handle at that moment, and one deviation of as many arrivals.
 
-use crate::common::{MS, S, entry, settings};
+use crate::common::{MS, Rng, S, entry, settings};
 use heronroute::*;
 use std::collections::{BTreeMap, VecDeque};
 
@@ -112,17 +112,6 @@
     gone: Micros,
 }
 
-struct Rng(u64);
-
-impl Rng {
-    fn unit(&mut self) -> f64 {
-        self.0 ^= self.0 << 13;
-        self.0 ^= self.0 >> 7;
-        self.0 ^= self.0 << 17;
-        (self.0 >> 11) as f64 / (1u64 << 53) as f64
-    }
-}
-
 impl Return {
     fn settings(&self) -> Settings {
         let senders = self.believed;
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -61,6 +61,19 @@
     Event::Message { id, class: ORDERED, tenant: 0, key, dest, time_left: 20 * S, again: false }
 }
 
+/// The models' random numbers; every figure follows from the seed.
+pub struct Rng(pub u64);
+
+impl Rng {
+    /// From 0 to 1.
+    pub fn unit(&mut self) -> f64 {
+        self.0 ^= self.0 << 13;
+        self.0 ^= self.0 >> 7;
+        self.0 ^= self.0 << 17;
+        (self.0 >> 11) as f64 / (1u64 << 53) as f64
+    }
+}
+
 /// A call that is out.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Out {
