--- a/crates/sender/src/calls.rs
+++ b/crates/sender/src/calls.rs
@@ -1,6 +1,7 @@
 //! Calls to endpoints: their connections, one call on each at a time, and what comes back.
 
 use crate::connection::{Connection, Traffic};
+use crate::figures::Figures;
 use crate::fleet::Fleet;
 use crate::input::{Ended, Fate};
 use bytes::Bytes;
@@ -116,6 +117,7 @@
 pub struct Calls {
     stale: RefCell<VecDeque<Stale>>,
     fleet: Rc<RefCell<Fleet>>,
+    figures: Rc<Figures>,
     idle: RefCell<HashMap<EndpointId, Vec<Connection>>>,
     waits: RefCell<HashMap<Lane, Instant>>,
     idle_most: usize,
@@ -127,6 +129,7 @@
 impl Calls {
     pub fn new(
         fleet: Rc<RefCell<Fleet>>,
+        figures: Rc<Figures>,
         idle_close: Duration,
         connect_timeout: Duration,
         idle_most: usize,
@@ -135,7 +138,7 @@
         let retire_after = idle_close.mul_f64(0.8);
         let (idle, waits, stale) = (RefCell::default(), RefCell::default(), RefCell::default());
         let probes = Semaphore::new(PROBES_MOST);
-        Calls { stale, fleet, idle, waits, idle_most, probes, retire_after, connect_timeout }
+        Calls { stale, fleet, figures, idle, waits, idle_most, probes, retire_after, connect_timeout }
     }
 
     /// Whether a call may begin now: a drain or a wait may have been learnt since it was decided.
@@ -274,6 +277,8 @@
             return Answer::of(Outcome::Skipped);
         }
         let traffic = connection.traffic.clone();
+        let (figures, messages) = (self.figures.clone(), order.items.len() as u64);
+        traffic.once_written(move || figures.forwards.set(figures.forwards.get() + messages));
         seen.traffic.replace(Some((traffic.clone(), traffic.written.get())));
         let written = Instant::now();
         let whole = tokio::select! {
--- a/crates/sender/src/clients.rs
+++ b/crates/sender/src/clients.rs
@@ -1,6 +1,7 @@
 //! The clients' side: a server of RESP2 commands.
 
-use crate::input::{Input, Phase};
+use crate::input::Input;
+use crate::standing::{Phase, Standing, closing};
 use bytes::{Bytes, BytesMut};
 use embershore_protocol::resp::{BODY_MOST, COMMAND_MOST, Reply, command, put};
 use std::cell::{Cell, OnceCell, RefCell};
@@ -26,6 +27,8 @@
 /// A command that has begun must have come to its end by then: together with the idle time under the 3 s after
 /// which a client that says nothing of use is to be turned away.
 const COMMAND_TIME: Duration = Duration::from_millis(900);
+/// While connections are being closed, a new one has this long to say what it has come for.
+const FIRST_WORD: Duration = Duration::from_millis(300);
 /// A client that does not read its answers is left.
 const WRITE_TIME: Duration = Duration::from_secs(1);
 /// What is read and thrown away of a connection that is being ended.
@@ -109,7 +112,7 @@
     /// Held while `buf` may grow beyond a usual command.
     long: Option<OwnedSemaphorePermit>,
     driver: mpsc::Sender<Input>,
-    phase: watch::Receiver<Phase>,
+    standing: watch::Receiver<Standing>,
     seat: Seat,
 }
 
@@ -165,6 +168,8 @@
         let between = self.buf.is_empty();
         let until = if between { self.seat.place.since.get() + IDLE_TIME } else { self.begun + COMMAND_TIME };
         let until = tokio::time::sleep_until(until.into());
+        let place = &self.seat.place;
+        let stays = place.since.get() + if place.asked.get() { Duration::ZERO } else { FIRST_WORD };
         let buffers = self.seat.places.buffers.clone();
         let more = async {
             if self.buf.len() >= USUAL_MOST && self.long.is_none() {
@@ -184,7 +189,7 @@
                 }
                 return Ok(true);
             }
-            _ = self.phase.wait_for(|p| *p == Phase::Closing), if between => {}
+            () = closing(&mut self.standing, stays), if between => {}
             () = until => {}
         }
         if !between {
@@ -240,8 +245,10 @@
         let (mut answer, _counted) = match answer {
             Answer::Now(text) => return Some(text),
             Answer::Ready => {
-                self.phase.wait_for(|p| *p != Phase::Starting).await.ok()?;
-                return Some("+PONG\r\n".into());
+                let standing = self.standing.wait_for(|s| s.phase() != Phase::Starting).await.ok()?;
+                let answer =
+                    if standing.ready() { "+PONG\r\n" } else { "-ERR the sender takes no clients now\r\n" };
+                return Some(answer.into());
             }
             Answer::Later(answer, counted) => (answer, counted),
         };
@@ -263,12 +270,13 @@
     }
 }
 
-/// Serves clients until the phase is [`Phase::Closing`] and their connections have closed.
+/// Serves clients until the sender stops and their connections close. While it is a lame duck new ones are let in:
+/// the front asks whether it is one, and what crosses the answer is served.
 pub async fn serve(
     listener: TcpListener,
     bounds: Bounds,
     driver: mpsc::Sender<Input>,
-    phase: watch::Receiver<Phase>,
+    standing: watch::Receiver<Standing>,
 ) {
     let places = Rc::new(Places {
         taken: RefCell::default(),
@@ -276,12 +284,16 @@
         buffers: Arc::new(Semaphore::new(bounds.buffers.max(COMMAND_MOST))),
         bodies: Arc::new(Semaphore::new(bounds.bodies.max(BODY_MOST + PUT_OVERHEAD))),
     });
-    let mut closing = phase.clone();
+    let mut follow = standing.clone();
+    let mut stopped = std::pin::pin!(async {
+        _ = follow.wait_for(|s| s.phase() == Phase::Stopping).await;
+        closing(&mut follow, Instant::now()).await;
+    });
     for number in 0.. {
         let accepted = tokio::select! {
             biased;
             a = listener.accept() => a,
-            _ = closing.wait_for(|p| *p == Phase::Closing) => return,
+            () = &mut stopped => return,
         };
         let mut socket = match accepted {
             Ok((socket, _)) => socket,
@@ -302,8 +314,8 @@
         let place = Rc::new(Place { asked, busy, since, task: OnceCell::new() });
         places.taken.borrow_mut().insert(number, place.clone());
         let seat = Seat { places: places.clone(), number, place: place.clone() };
-        let (buf, driver, phase) = (BytesMut::new(), driver.clone(), phase.clone());
-        let client = Client { socket, buf, begun: now, long: None, driver, phase, seat };
+        let (buf, driver, standing) = (BytesMut::new(), driver.clone(), standing.clone());
+        let client = Client { socket, buf, begun: now, long: None, driver, standing, seat };
         let task = tokio::task::spawn_local(async move {
             // A client that breaks off is no fault of the sender's.
             _ = client.serve().await;
--- a/crates/sender/src/connection.rs
+++ b/crates/sender/src/connection.rs
@@ -25,11 +25,13 @@
 const REST_TIME: Duration = Duration::from_millis(400);
 
 /// What has passed on a socket, as far as the outcome of a call depends on it and hyper does not tell.
-#[derive(Debug, Default)]
+#[derive(Default)]
 pub struct Traffic {
     pub written: Cell<u64>,
     /// The bytes that had been written when all that was to be written had been.
     pub flushed: Cell<u64>,
+    /// What is to be done once the next request has been written.
+    then: Cell<Option<Box<dyn FnOnce()>>>,
     /// A request is out whose answer has not begun.
     awaited: Cell<bool>,
     /// When an answer began, or a line before it that is not over.
@@ -41,6 +43,11 @@
 }
 
 impl Traffic {
+    /// Has `then` done once the last byte of the next request has been written.
+    pub fn once_written(&self, then: impl FnOnce() + 'static) {
+        self.then.set(Some(Box::new(then)));
+    }
+
     fn expect(&self) {
         self.awaited.set(true);
         self.began.set(None);
@@ -137,7 +144,13 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.traffic.flushed.set(self.traffic.written.get());
+        let (written, before) = (self.traffic.written.get(), self.traffic.flushed.get());
+        if written > before {
+            self.traffic.flushed.set(written);
+            if let Some(then) = self.traffic.then.take() {
+                then();
+            }
+        }
         Pin::new(&mut self.stream).poll_flush(cx)
     }
 
--- a/crates/sender/src/daemon.rs
+++ b/crates/sender/src/daemon.rs
@@ -3,8 +3,10 @@
 use crate::asking::Asking;
 use crate::clock::Clock;
 use crate::driver::{Driver, Parts};
-use crate::input::{Input, Phase};
-use crate::{calls, clients, discovery, fleet, journal, notices};
+use crate::figures::Figures;
+use crate::input::Input;
+use crate::standing::Standings;
+use crate::{calls, clients, discovery, fleet, journal, mgmt, notices};
 use embershore_protocol::listing::Listing;
 use embershore_protocol::settings::ProfileData;
 use serde::Deserialize;
@@ -29,6 +31,9 @@
 /// discovery's list and its next, and the notices' connection. These are 16; as many again are kept free.
 const OWN_FILES: usize = 32;
 
+/// Descriptors of the operators' door: its callers, one more that is let in as the first gives way, the listener.
+const DOOR_FILES: usize = mgmt::CALLERS_MOST + 2;
+
 #[derive(Deserialize)]
 pub(crate) struct Config {
     listen: SocketAddr,
@@ -37,6 +42,8 @@
     seed: String,
     #[serde(default)]
     limits: Limits,
+    /// Where the operators' door is, unless the environment names another place.
+    mgmt: Option<SocketAddr>,
     known: Option<Listing>,
     pub(crate) settings: ProfileData,
 }
@@ -65,8 +72,9 @@
     }
 
     /// Idle connections to endpoints: what clients, calls, probes and the sender's own files leave.
-    fn idle(&self, slots: usize) -> usize {
-        let others = self.clients().places + slots + calls::PROBES_MOST + OWN_FILES;
+    fn idle(&self, slots: usize, door: bool) -> usize {
+        let door = if door { DOOR_FILES } else { 0 };
+        let others = self.clients().places + slots + calls::PROBES_MOST + OWN_FILES + door;
         self.sockets.saturating_sub(others)
     }
 }
@@ -80,10 +88,16 @@
 
 /// Takes over what a new configuration may change in a running sender, which is where discovery is. The rest
 /// holds from the next start on. A file that cannot be read or is wrong changes nothing.
-async fn reload(path: PathBuf, mut hang_up: Signal, discovery: watch::Sender<SocketAddr>) {
+async fn reload(
+    path: PathBuf,
+    mut hang_up: Signal,
+    discovery: watch::Sender<SocketAddr>,
+    figures: Rc<Figures>,
+) {
     while hang_up.recv().await.is_some() {
         match Config::read(&path) {
             Ok(config) => {
+                figures.applied.set(figures.applied.get() + 1);
                 let moved = discovery.send_if_modified(|addr| {
                     let before = std::mem::replace(addr, config.discovery);
                     before != *addr
@@ -91,11 +105,24 @@
                 let word = if moved { "now" } else { "still" };
                 eprintln!("configuration read again: discovery is {word} at {}", config.discovery);
             }
-            Err(e) => eprintln!("configuration: {e}; the old one stays"),
+            Err(e) => {
+                figures.rejected.set(figures.rejected.get() + 1);
+                eprintln!("configuration: {e}; the old one stays");
+            }
         }
     }
 }
 
+/// The operators' door is this process's own, as its environment says, or the one that the configuration names.
+fn door_address(configured: Option<SocketAddr>) -> Result<Option<SocketAddr>, String> {
+    match std::env::var("LB_MGMT") {
+        Ok(addr) if !addr.is_empty() => {
+            addr.parse().map(Some).map_err(|_| format!("LB_MGMT: '{addr}' is no address and port"))
+        }
+        _ => Ok(configured),
+    }
+}
+
 async fn serve() -> Result<(), Box<dyn Error>> {
     // Before anything is awaited: by default either signal ends the process.
     let (mut terminate, hang_up) = (signal(SignalKind::terminate())?, signal(SignalKind::hangup())?);
@@ -111,15 +138,18 @@
     let ask_every = config.settings.ask_every().map(|every| Duration::from_micros(every.max(0) as u64));
     let settings = config.settings.settings();
     let fleet = Rc::new(RefCell::new(fleet::Fleet::new(names.clone())));
+    let figures = Rc::new(Figures::default());
+    let mgmt = door_address(config.mgmt)?;
     let calls = calls::Calls::new(
         fleet.clone(),
+        figures.clone(),
         Duration::from_micros(settings.idle_close.max(0) as u64),
         Duration::from_micros(connect_timeout as u64),
-        config.limits.idle(settings.slots as usize),
+        config.limits.idle(settings.slots as usize, mgmt.is_some()),
     );
     let (inputs, inbox) = mpsc::channel(INPUTS_MOST);
     let (notices, queue) = mpsc::unbounded_channel();
-    let (phase, follow_phase) = watch::channel(Phase::Starting);
+    let standings = Standings::new();
     let (discovery, follow_discovery) = watch::channel(config.discovery);
     let listener =
         TcpListener::bind(config.listen).await.map_err(|e| format!("listen on {}: {e}", config.listen))?;
@@ -142,9 +172,21 @@
         calls,
         notices,
         inputs: inputs.clone(),
-        phase,
+        standings: standings.clone(),
+        figures: figures.clone(),
     })?;
-    tokio::task::spawn_local(clients::serve(listener, config.limits.clients(), inputs.clone(), follow_phase));
+    tokio::task::spawn_local(clients::serve(
+        listener,
+        config.limits.clients(),
+        inputs.clone(),
+        standings.follow(),
+    ));
+    if let Some(addr) = mgmt {
+        let door = mgmt::Door { standings, figures: figures.clone(), fleet: fleet.clone() };
+        let listener =
+            TcpListener::bind(addr).await.map_err(|e| format!("operators' door on {addr}: {e}"))?;
+        tokio::task::spawn_local(mgmt::serve(listener, door));
+    }
     tokio::task::spawn_local(discovery::follow(
         follow_discovery.clone(),
         index,
@@ -153,7 +195,7 @@
         inputs.clone(),
     ));
     tokio::task::spawn_local(notices::send(follow_discovery, queue, inputs.clone()));
-    tokio::task::spawn_local(reload(path, hang_up, discovery));
+    tokio::task::spawn_local(reload(path, hang_up, discovery, figures));
     tokio::task::spawn_local(async move {
         terminate.recv().await;
         _ = inputs.send(Input::Stop).await;
--- a/crates/sender/src/driver.rs
+++ b/crates/sender/src/driver.rs
@@ -2,9 +2,11 @@
 
 use crate::calls::{Calls, Item, Lane, Order};
 use crate::clock::Clock;
+use crate::figures::{Ending, Figures};
 use crate::fleet::Fleet;
-use crate::input::{Ended, Input, Notice, Phase};
+use crate::input::{Ended, Input, Notice};
 use crate::journal::{Accepted, Journal};
+use crate::standing::{Change, Standings};
 use embershore_protocol::listing::Listing;
 use embershore_protocol::notice::End;
 use embershore_protocol::resp::{Put, Reply};
@@ -18,10 +20,10 @@
 use std::collections::{BTreeMap, BinaryHeap, HashMap};
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{mpsc, oneshot};
 
-/// After SIGTERM: clients still connect for this long ...
-const CLOSE_CLIENTS_AFTER: Micros = 450_000;
+/// After SIGTERM: the process stays for this long at the least, also with nothing to do, ...
+const STAY_LEAST: Micros = 900_000;
 /// ... calls have this long to end ...
 const CALLS_END_AFTER: Micros = 3_300_000;
 /// ... and the process this long, before it is killed.
@@ -54,7 +56,8 @@
     pub calls: Calls,
     pub notices: mpsc::UnboundedSender<Notice>,
     pub inputs: mpsc::Sender<Input>,
-    pub phase: watch::Sender<Phase>,
+    pub standings: Standings,
+    pub figures: Rc<Figures>,
 }
 
 pub struct Driver {
@@ -76,7 +79,8 @@
     calls: Rc<Calls>,
     notices: mpsc::UnboundedSender<Notice>,
     inputs: mpsc::Sender<Input>,
-    phase: watch::Sender<Phase>,
+    standings: Standings,
+    figures: Rc<Figures>,
     events: Vec<Event>,
     newcomers: BTreeMap<MsgId, Newcomer>,
     live: HashMap<MsgId, Live>,
@@ -90,8 +94,10 @@
 
 impl Driver {
     pub fn new(parts: Parts) -> Result<Self, heronroute::SettingsError> {
-        let Parts { clock, seed, list_wait, settings, names, journal, fleet, calls, notices, inputs, phase } =
+        let Parts { clock, seed, list_wait, settings, names, journal, fleet, calls, notices, inputs, .. } =
             parts;
+        let Parts { standings, figures, .. } = parts;
+        figures.name_classes(&names.classes);
         let (kinds, quantum, max_open) =
             (settings.kinds.clone(), settings.quantum, settings.max_open as usize);
         let guarded = settings.classes.iter().zip(&names.classes);
@@ -115,7 +121,8 @@
             calls: Rc::new(calls),
             notices,
             inputs,
-            phase,
+            standings,
+            figures,
             events: Vec::new(),
             newcomers: BTreeMap::new(),
             live: HashMap::new(),
@@ -134,7 +141,7 @@
         self.restore();
         early.into_iter().for_each(|input| self.take(input));
         self.round();
-        self.phase.send_replace(Phase::Serving);
+        _ = self.standings.change(Change::Started);
         let mut last = self.clock.now();
         let mut retire = last;
         loop {
@@ -259,6 +266,7 @@
             }
             Input::Stop => {
                 let now = self.clock.now();
+                _ = self.standings.change(Change::Stop);
                 self.stopping.get_or_insert(now);
                 self.events.push(Event::Stopping { at: now + CALLS_END_AFTER });
             }
@@ -289,12 +297,14 @@
             _ = reply.send(if written { Reply::Taken } else { Reply::Busy { after_ms: 0 } });
             return;
         }
-        if self.live.len() >= self.max_open {
+        if self.live.len() >= self.max_open || self.standings.get().refuses(std::time::Instant::now()) {
+            self.figures.count(&put.class, Ending::Refused);
             _ = reply.send(Reply::Busy { after_ms: self.come_again_ms });
             return;
         }
         let class = index(&self.names.classes, &put.class);
         if let Some(why) = self.wrong(class, &put) {
+            self.figures.count(&put.class, Ending::Wrong);
             _ = reply.send(Reply::Wrong(why));
             return;
         }
@@ -339,6 +349,11 @@
             if let Some(live) = self.live.get_mut(&id) {
                 live.call = None;
                 if last {
+                    if outcome == Outcome::Done
+                        && let Some(entry) = self.journal.borrow().get(id.0)
+                    {
+                        self.figures.count(&entry.accepted.class, Ending::Delivered);
+                    }
                     self.forget(id);
                 } else {
                     self.note(|j| j.settled(id.0, !outcome.never_ran()));
@@ -370,6 +385,7 @@
         self.welcome(now, &events, &actions);
         self.carry_out(actions);
         self.keep_health();
+        self.figures.outstanding.set(self.live.len() - self.newcomers.len());
     }
 
     /// Answers the clients whose messages this round has seen: those refused at once hear it, the others'
@@ -392,12 +408,14 @@
             let Event::Message { id, .. } = event else { continue };
             let Some(Newcomer { put, reply }) = self.newcomers.remove(id) else { continue };
             if let Some(answer) = answers.get(id) {
+                let busy = matches!(answer, Reply::Busy { .. });
+                self.figures.count(&put.class, if busy { Ending::Refused } else { Ending::Wrong });
                 self.by_request.remove(&put.request_id);
                 self.live.remove(id);
                 _ = reply.send(*answer);
                 continue;
             }
-            let request_id = put.request_id.clone();
+            let (request_id, class) = (put.request_id.clone(), put.class.clone());
             let accepted = Accepted {
                 request_id: put.request_id,
                 class: put.class,
@@ -417,6 +435,7 @@
             };
             if reply.send(answer).is_err() || answer != Reply::Taken {
                 // Its client has gone without an answer, or is told to come again.
+                self.figures.count(&class, Ending::Refused);
                 self.note(|j| j.ended(id.0, End::Over));
                 self.by_request.remove(&request_id);
                 self.live.remove(id);
@@ -459,9 +478,15 @@
         if self.live.remove(&id).is_none() {
             return;
         }
-        let Some(request_id) = self.journal.borrow().get(id.0).map(|e| e.accepted.request_id.clone()) else {
+        let journal = self.journal.borrow();
+        let Some(request_id) = journal.get(id.0).map(|e| {
+            let ending = if end == End::Failed { Ending::Failed } else { Ending::Returned };
+            self.figures.count(&e.accepted.class, ending);
+            e.accepted.request_id.clone()
+        }) else {
             return;
         };
+        drop(journal);
         self.note(|j| j.ended(id.0, end));
         self.by_request.remove(&request_id);
         self.unconfirmed += 1;
@@ -554,6 +579,8 @@
     fn keep_health(&mut self) {
         let fleet = self.fleet.borrow();
         let name = |id| fleet.get(id).map(|e| e.name.clone());
+        let avoided = self.dispatcher.health().filter(|(id, h)| h.trouble && fleet.lists(*id));
+        self.figures.ejected.set(avoided.count());
         let health = self.dispatcher.health().filter_map(|(id, h)| name(id).map(|n| (n, h))).collect();
         if let Err(e) = self.journal.borrow_mut().keep_health(&health) {
             eprintln!("journal: {e}");
@@ -562,17 +589,14 @@
 
     /// Guards against a process that is killed because it saw its time to exit only at its next round.
     fn next_phase(&self, last: Micros) -> Micros {
-        let phases = self.stopping.into_iter().flat_map(|t| [t + CLOSE_CLIENTS_AFTER, t + EXIT_AFTER]);
+        let phases = self.stopping.into_iter().flat_map(|t| [t + STAY_LEAST, t + EXIT_AFTER]);
         phases.filter(|at| *at > last).min().unwrap_or(Micros::MAX)
     }
 
-    /// After SIGTERM: closes clients' connections in time, and tells when all is done that can be.
-    fn stopped(&mut self, now: Micros) -> bool {
+    /// After SIGTERM: tells when all is done that can be.
+    fn stopped(&self, now: Micros) -> bool {
         let Some(since) = self.stopping.map(|t| now - t) else { return false };
-        if since >= CLOSE_CLIENTS_AFTER {
-            self.phase.send_replace(Phase::Closing);
-        }
-        let done = self.live.is_empty() && self.unconfirmed == 0 && since > 2 * CLOSE_CLIENTS_AFTER;
+        let done = self.live.is_empty() && self.unconfirmed == 0 && since > STAY_LEAST;
         done || since >= EXIT_AFTER
     }
 }
--- /dev/null
+++ b/crates/sender/src/figures.rs
@@ -0,0 +1,139 @@
+//! What the sender reports of itself: counters from the process's start, and how things stand.
+
+use serde::Serialize;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+
+/// Classes that are counted apart. Those of one configuration are far fewer; each new one may bring more.
+const CLASSES_MOST: usize = 1000;
+
+/// How a message ended, as far as the figures tell it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// An endpoint has taken it (200, or `ok` in the answer to several).
+    Delivered,
+    /// Its client was told `-BUSY` in place of `+OK`.
+    Refused,
+    /// It was taken on and its client is told by a notice that it may come again.
+    Returned,
+    /// Its client was told `-ERR` in place of `+OK`.
+    Wrong,
+    /// It was taken on and its client is told by a notice that it failed.
+    Failed,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Column {
+    Succeeded,
+    Declined,
+    Aborted,
+}
+
+impl Ending {
+    /// Where each ending counts.
+    fn column(self) -> Column {
+        match self {
+            Ending::Delivered => Column::Succeeded,
+            Ending::Refused | Ending::Returned => Column::Declined,
+            Ending::Wrong | Ending::Failed => Column::Aborted,
+        }
+    }
+}
+
+/// The figures as they are told.
+#[derive(Debug, Serialize)]
+pub struct Told {
+    succeeded: BTreeMap<String, u64>,
+    declined: BTreeMap<String, u64>,
+    aborted: BTreeMap<String, u64>,
+    forwards: u64,
+    outstanding: usize,
+    discovered: usize,
+    ejected: usize,
+    sighup_applied: u64,
+    sighup_rejected: u64,
+}
+
+/// The figures as they are kept: the driver counts the ends that it decides, a connection what it has written.
+#[derive(Debug, Default)]
+pub struct Figures {
+    /// By class: delivered, declined, aborted.
+    ends: RefCell<BTreeMap<String, [u64; 3]>>,
+    /// Messages written whole to endpoints.
+    pub forwards: Cell<u64>,
+    /// Messages taken and not ended.
+    pub outstanding: Cell<usize>,
+    /// Listed endpoints that are avoided now.
+    pub ejected: Cell<usize>,
+    /// Files taken over at SIGHUP.
+    pub applied: Cell<u64>,
+    /// Files turned down at SIGHUP.
+    pub rejected: Cell<u64>,
+}
+
+impl Figures {
+    /// Lets these classes stand in the figures from now on. One that is dropped later keeps its count.
+    pub fn name_classes<'a>(&self, classes: impl IntoIterator<Item = &'a String>) {
+        let mut ends = self.ends.borrow_mut();
+        for class in classes {
+            if ends.len() < CLASSES_MOST {
+                ends.entry(class.clone()).or_default();
+            }
+        }
+    }
+
+    /// Counts a message's end. A class that is in no configuration is not counted: its name is the client's own.
+    pub fn count(&self, class: &str, ending: Ending) {
+        if let Some(row) = self.ends.borrow_mut().get_mut(class) {
+            row[ending.column() as usize] += 1;
+        }
+    }
+
+    /// All of it, where so many endpoints are listed.
+    pub fn tell(&self, discovered: usize) -> Told {
+        let ends = self.ends.borrow();
+        let column = |c: Column| ends.iter().map(|(name, row)| (name.clone(), row[c as usize])).collect();
+        Told {
+            succeeded: column(Column::Succeeded),
+            declined: column(Column::Declined),
+            aborted: column(Column::Aborted),
+            forwards: self.forwards.get(),
+            outstanding: self.outstanding.get(),
+            discovered,
+            ejected: self.ejected.get(),
+            sighup_applied: self.applied.get(),
+            sighup_rejected: self.rejected.get(),
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use serde_json::{Value, json};
+
+    #[test]
+    fn each_ending_counts_in_its_column() {
+        let figures = Figures::default();
+        figures.name_classes(&["push".to_string(), "pay".to_string()]);
+        for ending in [
+            Ending::Delivered,
+            Ending::Refused,
+            Ending::Returned,
+            Ending::Wrong,
+            Ending::Failed,
+            Ending::Failed,
+        ] {
+            figures.count("push", ending);
+        }
+        figures.count("nobody's", Ending::Delivered);
+        let told: Value = serde_json::to_value(figures.tell(7)).unwrap();
+        assert_eq!(told["succeeded"], json!({"pay": 0, "push": 1}));
+        assert_eq!(told["declined"], json!({"pay": 0, "push": 2}));
+        assert_eq!(told["aborted"], json!({"pay": 0, "push": 3}));
+        assert_eq!(told["discovered"], 7);
+        figures.name_classes(&["push".to_string(), "new".to_string()]);
+        let told: Value = serde_json::to_value(figures.tell(7)).unwrap();
+        assert_eq!(told["succeeded"], json!({"pay": 0, "push": 1, "new": 0}));
+    }
+}
--- a/crates/sender/src/fleet.rs
+++ b/crates/sender/src/fleet.rs
@@ -52,6 +52,16 @@
         self.numbers.get(name).copied()
     }
 
+    /// Endpoints in the list, whatever it says of them.
+    pub fn listed(&self) -> usize {
+        self.endpoints.values().filter(|e| e.gone.is_none()).count()
+    }
+
+    /// Whether the endpoint is in the list.
+    pub fn lists(&self, id: EndpointId) -> bool {
+        self.endpoints.get(&id).is_some_and(|e| e.gone.is_none())
+    }
+
     /// Whether the destination has an endpoint or had one not long ago.
     pub fn knows(&self, dest: DestId) -> bool {
         self.dests.contains_key(&dest)
--- a/crates/sender/src/input.rs
+++ b/crates/sender/src/input.rs
@@ -16,15 +16,6 @@
     Stop,
 }
 
-/// How far the sender is: clients' connections follow it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Phase {
-    Starting,
-    Serving,
-    /// Connections close between requests.
-    Closing,
-}
-
 /// How a message fared in a call.
 #[derive(Clone, Debug)]
 pub struct Fate {
--- /dev/null
+++ b/crates/sender/src/standing.rs
@@ -0,0 +1,203 @@
+//! The state of the process, in one place: what every front and the operators' door go by.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::sync::watch;
+
+/// While the sender is emptied or stops, clients still connect for this long: the front that deals them out asks
+/// every 0.1 s and sends new connections for 0.2 s more. Then their connections close between requests.
+const CLIENTS_STAY: Duration = Duration::from_millis(450);
+/// A message that is handed in later than this after the sender was told to empty itself is refused: whoever
+/// still comes goes by an old word, and would be here when the sender is to be empty.
+const CLIENTS_LATE: Duration = Duration::from_millis(1400);
+
+/// What the process is doing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// It has not read its list yet, nor what an earlier run left.
+    Starting,
+    /// It takes messages.
+    Serving,
+    /// It has been told to empty itself, and serves what it has.
+    LameDuck,
+    /// It has been told to end.
+    Stopping,
+}
+
+/// What can change the phase.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// All is read that has to be.
+    Started,
+    /// The operators empty the sender, or let it have clients again.
+    LameDuck(bool),
+    /// SIGTERM.
+    Stop,
+}
+
+/// Why a change can't be made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TooLate;
+
+/// How far the process is, and since when. Being told to empty itself is remembered through the start, and nothing
+/// undoes a stop.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Standing {
+    started: bool,
+    lame_duck: Option<Instant>,
+    stopping: Option<Instant>,
+}
+
+impl Standing {
+    /// What the process is doing.
+    pub fn phase(&self) -> Phase {
+        match self {
+            Standing { stopping: Some(_), .. } => Phase::Stopping,
+            Standing { started: false, .. } => Phase::Starting,
+            Standing { lame_duck: Some(_), .. } => Phase::LameDuck,
+            _ => Phase::Serving,
+        }
+    }
+
+    /// Whether new clients are welcome: what `PING` and `/_ready` answer.
+    pub fn ready(&self) -> bool {
+        self.phase() == Phase::Serving
+    }
+
+    /// From when on clients' connections close between requests, if they do.
+    pub fn closes_at(&self) -> Option<Instant> {
+        [self.lame_duck, self.stopping].into_iter().flatten().min().map(|since| since + CLIENTS_STAY)
+    }
+
+    /// Whether a message that comes now is refused, since clients were to be elsewhere long ago.
+    pub fn refuses(&self, now: Instant) -> bool {
+        self.lame_duck.is_some_and(|since| now >= since + CLIENTS_LATE)
+    }
+
+    /// The state after a change.
+    ///
+    /// # Errors
+    /// Once the process has been told to end it does not take clients again.
+    pub fn after(mut self, change: Change, now: Instant) -> Result<Self, TooLate> {
+        match change {
+            Change::Started => self.started = true,
+            Change::LameDuck(true) => _ = self.lame_duck.get_or_insert(now),
+            Change::LameDuck(false) if self.stopping.is_some() => return Err(TooLate),
+            Change::LameDuck(false) => self.lame_duck = None,
+            Change::Stop => _ = self.stopping.get_or_insert(now),
+        }
+        Ok(self)
+    }
+}
+
+/// The state, for those that change it; cheap to clone.
+#[derive(Clone)]
+pub struct Standings(Rc<watch::Sender<Standing>>);
+
+impl Standings {
+    pub fn new() -> Self {
+        Standings(Rc::new(watch::Sender::new(Standing::default())))
+    }
+
+    pub fn get(&self) -> Standing {
+        *self.0.borrow()
+    }
+
+    pub fn follow(&self) -> watch::Receiver<Standing> {
+        self.0.subscribe()
+    }
+
+    /// Changes the state and tells all who follow it.
+    ///
+    /// # Errors
+    /// As [`Standing::after`].
+    pub fn change(&self, change: Change) -> Result<Standing, TooLate> {
+        let next = self.get().after(change, Instant::now())?;
+        self.0.send_replace(next);
+        Ok(next)
+    }
+}
+
+/// Waits until a client's connection is to close between requests, which is no sooner than `least`.
+pub async fn closing(standing: &mut watch::Receiver<Standing>, least: Instant) {
+    loop {
+        let at = standing.borrow_and_update().closes_at();
+        let closes = async {
+            match at {
+                Some(at) => tokio::time::sleep_until(at.max(least).into()).await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            biased;
+            () = closes => return,
+            // The other end lasts as long as the process.
+            Ok(()) = standing.changed() => {}
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Plays changes, each a tenth of a second after the one before.
+    fn played(changes: &[Change]) -> (Instant, Standing) {
+        let start = Instant::now();
+        let mut standing = Standing::default();
+        for (n, change) in changes.iter().enumerate() {
+            let at = start + Duration::from_millis(100 * n as u64);
+            standing = standing.after(*change, at).unwrap_or(standing);
+        }
+        (start, standing)
+    }
+
+    #[test]
+    fn each_row_of_the_table_of_phases() {
+        use Change::{LameDuck as Lame, Started, Stop};
+        let rows: [(&[Change], Phase); 14] = [
+            (&[], Phase::Starting),
+            (&[Started], Phase::Serving),
+            (&[Started, Started], Phase::Serving),
+            (&[Lame(true)], Phase::Starting),
+            (&[Lame(true), Started], Phase::LameDuck),
+            (&[Lame(true), Lame(false), Started], Phase::Serving),
+            (&[Started, Lame(true)], Phase::LameDuck),
+            (&[Started, Lame(true), Lame(true)], Phase::LameDuck),
+            (&[Started, Lame(true), Lame(false)], Phase::Serving),
+            (&[Started, Lame(false), Lame(false)], Phase::Serving),
+            (&[Started, Lame(true), Lame(false), Lame(true)], Phase::LameDuck),
+            (&[Started, Lame(true), Stop], Phase::Stopping),
+            (&[Started, Stop, Lame(false), Started], Phase::Stopping),
+            (&[Stop], Phase::Stopping),
+        ];
+        for (changes, phase) in rows {
+            let (_, standing) = played(changes);
+            assert_eq!(standing.phase(), phase, "{changes:?}");
+            assert_eq!(standing.ready(), phase == Phase::Serving, "{changes:?}");
+        }
+    }
+
+    #[test]
+    fn only_a_stop_can_not_be_undone() {
+        let now = Instant::now();
+        let (_, stopping) = played(&[Change::Started, Change::LameDuck(true), Change::Stop]);
+        assert_eq!(stopping.after(Change::LameDuck(false), now), Err(TooLate));
+        assert_eq!(stopping.after(Change::LameDuck(true), now), Ok(stopping));
+        let (_, serving) = played(&[Change::Started]);
+        assert!(serving.after(Change::LameDuck(false), now).is_ok());
+    }
+
+    #[test]
+    fn being_told_again_does_not_put_the_closing_off() {
+        let (start, once) = played(&[Change::LameDuck(true)]);
+        let (again_start, again) = played(&[Change::LameDuck(true), Change::LameDuck(true)]);
+        assert_eq!(once.closes_at(), Some(start + CLIENTS_STAY));
+        assert_eq!(again.closes_at(), Some(again_start + CLIENTS_STAY));
+        assert!(!once.refuses(start + CLIENTS_STAY));
+        assert!(once.refuses(start + CLIENTS_LATE));
+        let (_, off) = played(&[Change::LameDuck(true), Change::LameDuck(false)]);
+        assert_eq!(off.closes_at(), None);
+        assert!(!off.refuses(start + 10 * CLIENTS_LATE));
+    }
+}
