--- a/crates/sender/tests/common/mod.rs
+++ b/crates/sender/tests/common/mod.rs
@@ -369,10 +369,22 @@
 /// A sender's process and its lasting folder.
 pub struct Sender {
     pub addr: SocketAddr,
+    /// Where the operators' door is, of a sender that has one.
+    pub door: SocketAddr,
     pub folder: tempfile::TempDir,
     child: Option<Child>,
 }
 
+/// An address that keeps its port between a sender's processes: bound but not listening, since a child that another
+/// test is starting may hold a copy of it for a moment, which would take connections in the sender's place and
+/// keep it from listening.
+fn reserved(own: Ipv4Addr) -> SocketAddr {
+    let port = tokio::net::TcpSocket::new_v4().unwrap();
+    port.set_reuseaddr(true).unwrap();
+    port.bind((own, 0).into()).unwrap();
+    port.local_addr().unwrap()
+}
+
 impl Sender {
     pub fn start(platform: &Platform) -> Self {
         Self::with(platform, |_| {})
@@ -384,12 +396,7 @@
         static SENDERS: AtomicU8 = AtomicU8::new(1);
         let [.., high, low] = std::process::id().to_be_bytes();
         let own = Ipv4Addr::new(127, high | 0x80, low, SENDERS.fetch_add(1, Ordering::Relaxed));
-        // Bound but not listening: a child that another test is starting may hold a copy of it for a moment,
-        // which would take connections in the sender's place and keep it from listening.
-        let port = tokio::net::TcpSocket::new_v4().unwrap();
-        port.set_reuseaddr(true).unwrap();
-        port.bind((own, 0).into()).unwrap();
-        let addr = port.local_addr().unwrap();
+        let (addr, door) = (reserved(own), reserved(own));
         let folder = tempfile::tempdir().unwrap();
         std::fs::create_dir(folder.path().join("state")).unwrap();
         let mut config = json!({
@@ -401,11 +408,39 @@
         });
         change(&mut config);
         std::fs::write(folder.path().join("config.json"), config.to_string()).unwrap();
-        let mut sender = Sender { addr, folder, child: None };
+        let mut sender = Sender { addr, door, folder, child: None };
         sender.spawn();
         sender
     }
 
+    /// Starts one with a door for operators.
+    pub fn with_door(platform: &Platform) -> Self {
+        let mut sender = Self::start(platform);
+        sender.kill();
+        let door = sender.door.to_string();
+        sender.change(|c| c["mgmt"] = door.clone().into());
+        sender.spawn();
+        sender
+    }
+
+    /// Makes a call at the operators' door: its status and what it says.
+    pub fn ask(&self, call: &str) -> (u16, String) {
+        let mut stream = TcpStream::connect(self.door).unwrap();
+        stream.set_read_timeout(Some(LIMIT)).unwrap();
+        stream.write_all(format!("{call} HTTP/1.1\r\nhost: door\r\n\r\n").as_bytes()).unwrap();
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).unwrap();
+        let status = answer.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0);
+        (status, answer.split_once("\r\n\r\n").map(|(_, body)| body.to_string()).unwrap_or_default())
+    }
+
+    /// The figures that the operators' door tells.
+    pub fn figures(&self) -> Value {
+        let (status, text) = self.ask("GET /_vars");
+        assert_eq!(status, 200);
+        serde_json::from_str(&text).unwrap()
+    }
+
     /// Alters the configuration for the next start.
     pub fn change(&self, change: impl Fn(&mut Value)) {
         let path = self.folder.path().join("config.json");
--- /dev/null
+++ b/crates/sender/tests/mgmt.rs
@@ -0,0 +1,231 @@
+//! The operators' door: whether it answers whoever else stands there, whether its figures are true, and what a sender
+//! that is to be emptied does.
+
+mod common;
+use common::*;
+use serde_json::json;
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
+
+const SYNC: &str = "c=sync,d=15000,dest=3";
+const PAY: &str = "c=pay,d=15000,dest=3";
+const PUSH: &str = "c=push,d=15000,dest=3,k=5c0f6e1a2b3d4c59";
+
+fn one(script: impl Fn(&Request) -> Act + Send + Sync + 'static) -> (Endpoint, Platform, Sender) {
+    let endpoint = Endpoint::new(script);
+    let platform = Platform::new(vec![line("s-1", endpoint.addr, "one", 3, "Ready")]);
+    let sender = Sender::with_door(&platform);
+    sender.client().ping();
+    (endpoint, platform, sender)
+}
+
+#[test]
+fn calls_that_are_not_known_or_made_wrongly_are_turned_away() {
+    let (_endpoint, _platform, sender) = one(|_| status(200));
+    assert_eq!(sender.ask("GET /_ready"), (200, "ready\n".into()));
+    assert_eq!(sender.ask("GET /elsewhere").0, 404);
+    assert_eq!(sender.ask("POST /_ready").0, 405);
+    assert_eq!(sender.ask("GET /_lameduck/on").0, 405);
+    assert_eq!(sender.ask("what is this").0, 400);
+    assert_eq!(sender.ask("GET /_ready").0, 200);
+}
+
+#[test]
+fn without_an_address_there_is_no_door() {
+    let platform = Platform::new(vec![placeholder(3)]);
+    let sender = Sender::start(&platform);
+    sender.client().ping();
+    assert!(TcpStream::connect(sender.door).is_err());
+}
+
+#[test]
+fn callers_that_say_nothing_or_half_a_call_delay_no_one() {
+    let (_endpoint, _platform, sender) = one(|_| status(200));
+    // More of them than the door lets in at once, twice over.
+    let mut standing = Vec::new();
+    for n in 0..60 {
+        let mut stream = TcpStream::connect(sender.door).unwrap();
+        if n % 2 == 0 {
+            stream.write_all(b"GET /_rea").unwrap();
+        }
+        standing.push(stream);
+        let asked = Instant::now();
+        assert_eq!(sender.ask("GET /_ready").0, 200);
+        assert!(asked.elapsed() < Duration::from_secs(1));
+    }
+    // The one that came first gave way.
+    standing[1].set_read_timeout(Some(LIMIT)).unwrap();
+    assert_eq!(standing[1].read(&mut [0; 64]).unwrap_or(0), 0);
+}
+
+#[test]
+fn a_crowd_at_the_clients_address_does_not_shut_the_door() {
+    let (_endpoint, _platform, sender) = one(|_| status(200));
+    let crowd: Vec<TcpStream> = (0..600)
+        .map(|_| {
+            let mut stream = TcpStream::connect(sender.addr).unwrap();
+            _ = stream.write_all(b"*5\r\n$7\r\nMSG.");
+            stream
+        })
+        .collect();
+    for _ in 0..20 {
+        let asked = Instant::now();
+        assert_eq!(sender.ask("GET /_ready").0, 200);
+        assert!(asked.elapsed() < Duration::from_secs(1));
+    }
+    drop(crowd);
+}
+
+#[test]
+fn the_figures_are_what_clients_and_endpoints_have_counted() {
+    let (endpoint, platform, mut sender) = one(|request| match request.ids()[0].as_bytes()[0] {
+        b'g' => status(200),
+        b's' => Act::Silence,
+        _ => status(500),
+    });
+    let before = sender.figures();
+    let none = json!({"pay": 0, "push": 0, "sync": 0});
+    assert_eq!((&before["succeeded"], &before["declined"], &before["aborted"]), (&none, &none, &none));
+    assert_eq!((&before["discovered"], &before["ejected"]), (&json!(1), &json!(0)));
+    let mut client = sender.client();
+    for n in 0..5 {
+        assert_eq!(client.put(&format!("g{n}"), PAY), "+OK");
+        endpoint.wait_sent(&format!("g{n}"));
+    }
+    assert_eq!(client.put("g9", PUSH), "+OK");
+    endpoint.wait_sent("g9");
+    assert_eq!(client.put("f1", PAY), "+OK");
+    platform.wait_state("f1", "failed");
+    assert!(client.put("w1", "c=sync,d=15000,dest=77").starts_with("-ERR"));
+    assert!(client.put("w2", "c=nobody,d=15000,dest=3").starts_with("-ERR"));
+    assert_eq!(client.put("s1", PAY), "+OK");
+    endpoint.wait_sent("s1");
+    let told = sender.figures();
+    assert_eq!(told["succeeded"], json!({"pay": 5, "push": 1, "sync": 0}));
+    assert_eq!(told["aborted"], json!({"pay": 1, "push": 0, "sync": 1}));
+    assert_eq!(told["declined"], none);
+    assert_eq!((&told["forwards"], &told["outstanding"]), (&json!(8), &json!(1)));
+    // Each process counts from nought; what an earlier one took and this one ends counts here.
+    sender.kill();
+    sender.spawn();
+    platform.wait_state("s1", "failed");
+    let told = sender.figures();
+    assert_eq!((&told["aborted"]["pay"], &told["succeeded"]["pay"]), (&json!(1), &json!(0)));
+    assert_eq!((&told["forwards"], &told["outstanding"]), (&json!(0), &json!(0)));
+}
+
+#[test]
+fn each_message_of_a_call_of_several_counts_as_written() {
+    let endpoint = Endpoint::new(|request| {
+        let states = request.ids().into_iter().map(|id| json!({"id": id, "state": "ok"}));
+        Act::Answer(200, Vec::new(), json!(states.collect::<Vec<_>>()).to_string())
+    });
+    let platform = Platform::new(vec![placeholder(3)]);
+    let sender = Sender::with_door(&platform);
+    let mut client = sender.client();
+    client.ping();
+    for n in 0..6 {
+        assert_eq!(client.put(&format!("a{n}"), SYNC), "+OK");
+    }
+    assert_eq!(sender.figures()["outstanding"], 6);
+    platform.tell(false, vec![line("s-1", endpoint.addr, "many", 3, "Ready")]);
+    wait_until("all of them", || sender.figures()["outstanding"] == 0);
+    let told = sender.figures();
+    assert_eq!((&told["succeeded"]["sync"], &told["forwards"]), (&json!(6), &json!(6)));
+    assert!(endpoint.requests().len() < 6, "some of them share a call");
+}
+
+#[test]
+fn a_file_at_sighup_is_counted_as_taken_or_turned_down() {
+    let (_endpoint, _platform, sender) = one(|_| status(200));
+    sender.hang_up();
+    wait_until("the file to be taken", || sender.figures()["sighup_applied"] == 1);
+    std::fs::write(sender.folder.path().join("config.json"), "{").unwrap();
+    sender.hang_up();
+    wait_until("the file to be turned down", || sender.figures()["sighup_rejected"] == 1);
+    assert_eq!(sender.figures()["sighup_applied"], 1);
+}
+
+/// The answer to `PING` on a new connection.
+fn pinged(sender: &Sender) -> String {
+    let mut client = sender.client();
+    client.write(&resp(&[b"PING"]));
+    client.read()
+}
+
+#[test]
+fn an_emptied_sender_lets_its_clients_go_and_has_them_back() {
+    let (endpoint, _platform, sender) = one(|_| status(200));
+    let (mut idle, mut busy) = (sender.client(), sender.client());
+    idle.ping();
+    assert_eq!(sender.ask("POST /_lameduck/on").0, 200);
+    assert_eq!(sender.ask("GET /_ready").0, 503);
+    assert!(pinged(&sender).starts_with("-ERR"));
+    // What crosses the answer is served, on connections that are there and on new ones.
+    assert_eq!(busy.put("a1", SYNC), "+OK");
+    assert_eq!(sender.client().put("a2", SYNC), "+OK");
+    // Neither is left open.
+    let told = Instant::now();
+    assert_eq!((idle.read(), busy.read()), (String::new(), String::new()));
+    assert!(told.elapsed() < Duration::from_millis(1500));
+    // A new one may still ask, and is closed after its answer.
+    let mut late = sender.client();
+    late.write(&resp(&[b"PING"]));
+    assert!(late.read().starts_with("-ERR"));
+    assert_eq!(late.read(), "");
+    // Whoever comes much later is told to come again.
+    wait_until("refusals", || sender.client().put("b1", SYNC).starts_with("-BUSY"));
+    assert_eq!(sender.ask("POST /_lameduck/off").0, 200);
+    assert_eq!(sender.ask("GET /_ready").0, 200);
+    assert_eq!(pinged(&sender), "+PONG");
+    assert_eq!(sender.client().put("a3", SYNC), "+OK");
+    ["a1", "a2", "a3"].iter().for_each(|id| endpoint.wait_sent(id));
+}
+
+#[test]
+fn on_off_and_on_again_within_a_tenth_of_a_second() {
+    let (endpoint, _platform, sender) = one(|_| status(200));
+    let mut client = sender.client();
+    client.ping();
+    for call in ["on", "on", "off", "off", "on", "off"] {
+        assert_eq!(sender.ask(&format!("POST /_lameduck/{call}")).0, 200);
+        let ready = call == "off";
+        assert_eq!(sender.ask("GET /_ready").0 == 200, ready);
+        assert_eq!(pinged(&sender) == "+PONG", ready);
+    }
+    // The connection from before was never to be closed for good.
+    std::thread::sleep(Duration::from_millis(700));
+    client.ping();
+    assert_eq!(client.put("a1", PUSH), "+OK");
+    endpoint.wait_sent("a1");
+}
+
+#[test]
+fn a_command_that_is_half_written_when_the_sender_is_emptied_is_served() {
+    let (endpoint, _platform, sender) = one(|_| status(200));
+    sender.client().ping();
+    let mut client = sender.client();
+    let command = put("a1", &format!("{SYNC},t=acme"), b"hello");
+    let (head, rest) = command.split_at(40);
+    assert_eq!(sender.ask("POST /_lameduck/on").0, 200);
+    client.write(head);
+    std::thread::sleep(Duration::from_millis(600));
+    client.write(rest);
+    assert_eq!(client.read(), "+OK");
+    assert_eq!(client.read(), "");
+    endpoint.wait_sent("a1");
+}
+
+#[test]
+fn a_sender_that_was_told_to_end_is_not_let_out_of_it() {
+    let (endpoint, _platform, mut sender) = one(|_| Act::Silence);
+    assert_eq!(sender.client().put("a1", SYNC), "+OK");
+    endpoint.wait_sent("a1");
+    assert_eq!(sender.ask("POST /_lameduck/on").0, 200);
+    sender.terminate();
+    wait_until("the stop", || sender.ask("GET /_ready") == (503, "stopping\n".into()));
+    assert_eq!(sender.ask("POST /_lameduck/off").0, 409);
+    assert_eq!(sender.ask("POST /_lameduck/on").0, 200);
+    assert!(sender.wait_exit().success());
+}
