--- a/crates/sender/src/calls.rs
+++ b/crates/sender/src/calls.rs
@@ -82,6 +82,8 @@
 /// What is known of a call that is out.
 #[derive(Default)]
 struct Seen {
+    /// Messages that were left out when it began: each was over by then.
+    left_out: RefCell<Vec<MsgId>>,
     /// Its connection's traffic, and what had been written there before.
     traffic: RefCell<Option<(Rc<Traffic>, u64)>>,
     head: RefCell<Option<Answer>>,
@@ -220,12 +222,13 @@
         idle.entry(endpoint).or_default().push(connection);
     }
 
-    /// Makes a call. `begin` is asked right before the first byte is written and may say no; `cancelled` ends
-    /// the call by closing its connection.
+    /// Makes a call. `begin` is asked right before the first byte is written, and tells which of the messages go:
+    /// a connection takes its time to come up, and some may be over by then. With none the call is not made.
+    /// `cancelled` ends it by closing its connection.
     pub async fn call(
         &self,
         order: &Order,
-        begin: impl FnOnce() -> bool,
+        begin: impl FnOnce() -> Vec<MsgId>,
         cancelled: oneshot::Receiver<()>,
     ) -> Ended {
         let start = Instant::now();
@@ -240,6 +243,7 @@
         };
         let fates = order.items.iter().map(|item| {
             let (outcome, over) = match &answer.states {
+                _ if seen.left_out.borrow().contains(&item.id) => (Outcome::Skipped, true),
                 None => (answer.outcome, answer.over),
                 Some(states) => state(states.get(&item.request_id).map(String::as_str)),
             };
@@ -254,7 +258,7 @@
         &self,
         order: &Order,
         start: Instant,
-        begin: impl FnOnce() -> bool,
+        begin: impl FnOnce() -> Vec<MsgId>,
         seen: &Seen,
     ) -> Answer {
         let endpoint = order.endpoint;
@@ -269,15 +273,18 @@
             self.keep(endpoint, connection);
             return Answer::of(Outcome::Skipped);
         }
-        let Ok(request) = request(order, order.timeout.saturating_sub(start.elapsed())) else {
-            return Answer::of(Outcome::Skipped);
-        };
-        if !begin() {
+        let wanted = begin();
+        let (items, left_out): (Vec<&Item>, Vec<&Item>) =
+            order.items.iter().partition(|item| wanted.contains(&item.id));
+        let left = order.timeout.saturating_sub(start.elapsed());
+        let request = (!items.is_empty()).then(|| request(order, &items, left).ok()).flatten();
+        let Some(request) = request else {
             self.keep(endpoint, connection);
             return Answer::of(Outcome::Skipped);
-        }
+        };
+        seen.left_out.replace(left_out.iter().map(|item| item.id).collect());
         let traffic = connection.traffic.clone();
-        let (figures, messages) = (self.figures.clone(), order.items.len() as u64);
+        let (figures, messages) = (self.figures.clone(), items.len() as u64);
         traffic.once_written(move || figures.forwards.set(figures.forwards.get() + messages));
         seen.traffic.replace(Some((traffic.clone(), traffic.written.get())));
         let written = Instant::now();
@@ -360,12 +367,16 @@
     connection.if_usable()
 }
 
-fn request(order: &Order, left: Duration) -> Result<Request<Full<Bytes>>, Box<dyn std::error::Error>> {
+fn request(
+    order: &Order,
+    items: &[&Item],
+    left: Duration,
+) -> Result<Request<Full<Bytes>>, Box<dyn std::error::Error>> {
     let head = Request::builder()
         .method("POST")
         .header("host", order.addr.to_string())
         .header("x-timeout", format!("{}m", left.as_millis().max(1)));
-    Ok(match order.items.as_slice() {
+    Ok(match items {
         [item] if !order.batch => {
             let mut head = head.uri("/v1/messages").header("x-request-id", &item.request_id);
             if let Some(key) = &item.idempotency_key {
--- a/crates/sender/src/driver.rs
+++ b/crates/sender/src/driver.rs
@@ -549,14 +549,23 @@
                 // A connection that is slow to come up must not carry a repeat past the time for which the
                 // destination remembers its key.
                 if clock.now() >= last_moment {
-                    return false;
+                    return Vec::new();
                 }
-                let ids = order.items.iter().map(|i| i.id.0).collect();
-                let noted = journal.borrow_mut().started(ids, &target.name, clock.now());
-                if let Err(e) = &noted {
-                    eprintln!("journal: {e}");
+                // Nor a message past its end, which its client may have been told while it came up.
+                let open =
+                    |id: &MsgId| journal.borrow().get(id.0).is_some_and(|entry| entry.progress.end.is_none());
+                let wanted: Vec<MsgId> = order.items.iter().map(|i| i.id).filter(open).collect();
+                if wanted.is_empty() {
+                    return wanted;
+                }
+                let ids = wanted.iter().map(|id| id.0).collect();
+                match journal.borrow_mut().started(ids, &target.name, clock.now()) {
+                    Ok(()) => wanted,
+                    Err(e) => {
+                        eprintln!("journal: {e}");
+                        Vec::new()
+                    }
                 }
-                noted.is_ok()
             };
             let ended = calls.call(&order, begin, cancelled).await;
             _ = inputs.send(Input::Ended(call, ended)).await;
--- a/crates/sender/tests/clients.rs
+++ b/crates/sender/tests/clients.rs
@@ -342,6 +342,40 @@
     assert_eq!(calls, Vec::<String>::new(), "{} fillers", fillers.len());
 }
 
+#[test]
+fn a_message_that_ends_while_its_calls_connection_comes_up_is_left_out() {
+    // Two share a call; one's time is up before the connection to the endpoint is.
+    let listener = backlog_of_none();
+    let addr = listener.local_addr().unwrap();
+    let fillers: Vec<_> = (0..8)
+        .filter_map(|_| std::net::TcpStream::connect_timeout(&addr, Duration::from_millis(100)).ok())
+        .collect();
+    let platform = Platform::new(vec![placeholder(3)]);
+    let sender = Sender::start(&platform);
+    let mut client = sender.client();
+    assert_eq!(client.put("short", "c=pay,d=600,dest=3"), "+OK");
+    assert_eq!(client.put("long", "c=pay,d=15000,dest=3"), "+OK");
+    platform.tell(false, vec![line("s-1", addr, "many", 3, "Ready")]);
+    wait_until("the short one's end", || platform.state_of("short").is_some());
+    let mut calls = Vec::new();
+    listener.set_nonblocking(true).unwrap();
+    let mut taken = Vec::new();
+    wait_until("the call", || {
+        if let Ok((stream, _)) = listener.accept() {
+            stream.set_nonblocking(true).unwrap();
+            taken.push(stream);
+        }
+        for s in &mut taken {
+            let mut buf = [0; 2048];
+            if let Ok(n @ 1..) = s.read(&mut buf) {
+                calls.push(String::from_utf8_lossy(&buf[..n]).into_owned());
+            }
+        }
+        calls.concat().contains("long")
+    });
+    assert!(!calls.concat().contains("short"), "{} fillers, {calls:?}", fillers.len());
+}
+
 fn backlog_of_none() -> TcpListener {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     let _entered = runtime.enter();
