--- a/crates/protocol/src/resp.rs
+++ b/crates/protocol/src/resp.rs
@@ -5,6 +5,8 @@
 
 use bytes::{Bytes, BytesMut};
 use heronroute::Micros;
+use serde::{Deserialize, Serialize};
+use std::borrow::Cow;
 use std::fmt;
 
 /// Bytes of a message's body, or of any argument, at most.
@@ -15,7 +17,7 @@
 pub const COMMAND_MOST: usize = 2 * BODY_MOST;
 
 /// A message as a client hands it in.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Put {
     /// Its id, new each time that it is handed in.
     pub request_id: String,
@@ -38,7 +40,7 @@
 }
 
 /// What a client is told of its message.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Reply {
     /// The sender owes the message its end from now on.
     Taken,
@@ -50,7 +52,7 @@
     /// Given up.
     Failed,
     /// It can't be taken on by any sender.
-    Wrong(&'static str),
+    Wrong(Cow<'static, str>),
 }
 
 impl Reply {
--- a/crates/sender/src/calls.rs
+++ b/crates/sender/src/calls.rs
@@ -9,7 +9,7 @@
 use heronroute::{DestId, EndpointId, Micros, MsgId, Outcome, Report};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::Request;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -27,6 +27,9 @@
 /// Kept connections are trusted less for this long after some were reset; so many resets are remembered.
 const STALE_MEMORY: Duration = Duration::from_secs(10);
 const STALE_MOST: usize = 64;
+/// Connections that are kept idle while another process of this sender runs: the two together may hold no more
+/// descriptors than one.
+const IDLE_BY_TWO: usize = 24;
 /// Probes that are out at once: each takes a descriptor beside those of the calls.
 pub const PROBES_MOST: usize = 8;
 
@@ -123,6 +126,8 @@
     idle: RefCell<HashMap<EndpointId, Vec<Connection>>>,
     waits: RefCell<HashMap<Lane, Instant>>,
     idle_most: usize,
+    /// Descriptors are shared with another process: none is kept idle.
+    by_two: Rc<Cell<bool>>,
     probes: Semaphore,
     retire_after: Duration,
     connect_timeout: Duration,
@@ -135,12 +140,13 @@
         idle_close: Duration,
         connect_timeout: Duration,
         idle_most: usize,
+        by_two: Rc<Cell<bool>>,
     ) -> Self {
         // The other side may close at its limit at the latest, and what crosses that is reset.
         let retire_after = idle_close.mul_f64(0.8);
         let (idle, waits, stale) = (RefCell::default(), RefCell::default(), RefCell::default());
         let probes = Semaphore::new(PROBES_MOST);
-        Calls { stale, fleet, figures, idle, waits, idle_most, probes, retire_after, connect_timeout }
+        Calls { stale, fleet, figures, idle, waits, idle_most, by_two, probes, retire_after, connect_timeout }
     }
 
     /// Whether a call may begin now: a drain or a wait may have been learnt since it was decided.
@@ -165,6 +171,11 @@
         self.idle.borrow_mut().remove(&endpoint);
     }
 
+    /// Closes all idle connections.
+    pub fn close_all(&self) {
+        self.idle.borrow_mut().clear();
+    }
+
     /// Closes connections that have been idle for long.
     pub fn retire(&self) {
         self.idle.borrow_mut().retain(|endpoint, connections| {
@@ -211,10 +222,11 @@
         let Some(mut connection) = connection.if_usable() else { return };
         connection.since = Instant::now();
         let mut idle = self.idle.borrow_mut();
-        if self.idle_most == 0 {
+        let most = if self.by_two.get() { self.idle_most.min(IDLE_BY_TWO) } else { self.idle_most };
+        if most == 0 {
             return;
         }
-        if idle.values().map(Vec::len).sum::<usize>() >= self.idle_most
+        if idle.values().map(Vec::len).sum::<usize>() >= most
             && let Some(oldest) = idle.values_mut().filter(|c| !c.is_empty()).min_by_key(|c| c[0].since)
         {
             oldest.remove(0);
--- a/crates/sender/src/clients.rs
+++ b/crates/sender/src/clients.rs
@@ -45,7 +45,7 @@
 /// What clients' connections may hold together.
 #[derive(Clone, Copy, Debug)]
 pub struct Bounds {
-    /// Connections.
+    /// Connections; half of them while another process of this sender has some.
     pub places: usize,
     /// Bytes of commands that are longer than a usual one and not read to their end.
     pub buffers: usize,
@@ -53,6 +53,15 @@
     pub bodies: usize,
 }
 
+/// What two processes of one sender have to know while both run.
+#[derive(Clone, Default)]
+pub struct Shared {
+    /// Clients' connections of this process.
+    pub connections: Rc<Cell<usize>>,
+    /// Descriptors are shared with the process that this one replaces.
+    pub by_two: Rc<Cell<bool>>,
+}
+
 /// A connection's place, as others see it.
 struct Place {
     /// A request of it has been answered. Those that have asked nothing yet give way first.
@@ -66,6 +75,8 @@
 
 /// The places in use.
 struct Places {
+    /// How many.
+    open: Rc<Cell<usize>>,
     taken: RefCell<BTreeMap<u64, Rc<Place>>>,
     left: Notify,
     buffers: Arc<Semaphore>,
@@ -100,6 +111,7 @@
 impl Drop for Seat {
     fn drop(&mut self) {
         self.places.taken.borrow_mut().remove(&self.number);
+        self.places.open.set(self.places.taken.borrow().len());
         self.places.left.notify_one();
     }
 }
@@ -277,8 +289,10 @@
     bounds: Bounds,
     driver: mpsc::Sender<Input>,
     standing: watch::Receiver<Standing>,
+    shared: Shared,
 ) {
     let places = Rc::new(Places {
+        open: shared.connections,
         taken: RefCell::default(),
         left: Notify::new(),
         buffers: Arc::new(Semaphore::new(bounds.buffers.max(COMMAND_MOST))),
@@ -286,7 +300,7 @@
     });
     let mut follow = standing.clone();
     let mut stopped = std::pin::pin!(async {
-        _ = follow.wait_for(|s| s.phase() == Phase::Stopping).await;
+        _ = follow.wait_for(|s| matches!(s.phase(), Phase::Stopping | Phase::HandedOver)).await;
         closing(&mut follow, Instant::now()).await;
     });
     for number in 0.. {
@@ -303,7 +317,8 @@
                 continue;
             }
         };
-        if !places.make_room(bounds.places).await {
+        let most = if shared.by_two.get() { bounds.places.div_ceil(2) } else { bounds.places };
+        if !places.make_room(most).await {
             _ = socket.try_write(b"-ERR max number of clients reached\r\n");
             _ = socket.shutdown().await;
             continue;
@@ -313,6 +328,7 @@
         let (asked, busy, since) = (Cell::new(false), Cell::new(false), Cell::new(now));
         let place = Rc::new(Place { asked, busy, since, task: OnceCell::new() });
         places.taken.borrow_mut().insert(number, place.clone());
+        places.open.set(places.taken.borrow().len());
         let seat = Seat { places: places.clone(), number, place: place.clone() };
         let (buf, driver, standing) = (BytesMut::new(), driver.clone(), standing.clone());
         let client = Client { socket, buf, begun: now, long: None, driver, standing, seat };
--- a/crates/sender/src/daemon.rs
+++ b/crates/sender/src/daemon.rs
@@ -2,11 +2,11 @@
 
 use crate::asking::Asking;
 use crate::clock::Clock;
-use crate::driver::{Driver, Parts};
+use crate::driver::{Driver, Handing, Parts};
 use crate::figures::Figures;
 use crate::input::Input;
-use crate::standing::Standings;
-use crate::{calls, clients, discovery, fleet, journal, mgmt, notices};
+use crate::standing::{Change, Standings};
+use crate::{calls, clients, discovery, fleet, handover, inherited, journal, mgmt, notices};
 use embershore_protocol::listing::Listing;
 use embershore_protocol::settings::ProfileData;
 use serde::Deserialize;
@@ -24,6 +24,8 @@
 const LAST_WRITES: Duration = Duration::from_millis(20);
 /// How long a new start waits for discovery's word before it goes by the list it was given.
 const LIST_WAIT: Duration = Duration::from_millis(500);
+/// How often it looks whether it has come.
+const LIST_LOOK: Duration = Duration::from_millis(2);
 /// Inputs that wait for the driver; whoever has more waits in turn.
 const INPUTS_MOST: usize = 1024;
 /// Descriptors for all but clients and endpoints: the standard streams, the event queue and its signals, the
@@ -124,14 +126,19 @@
 }
 
 async fn serve() -> Result<(), Box<dyn Error>> {
+    let inherited = inherited::listener()?;
     // Before anything is awaited: by default either signal ends the process.
     let (mut terminate, hang_up) = (signal(SignalKind::terminate())?, signal(SignalKind::hangup())?);
     let var = |name: &str| std::env::var(name).map_err(|_| format!("{name} is not set"));
     let path = PathBuf::from(var("LB_CONFIG")?);
     let config = Config::read(&path)?;
     let state = PathBuf::from(var("LB_STATE")?);
-    let journal = journal::Journal::open(&state, (config.limits.disk_mb * 1e6) as u64)
-        .map_err(|e| format!("journal in {}: {e}", state.display()))?;
+    let open_journal = || {
+        journal::Journal::open(&state, (config.limits.disk_mb * 1e6) as u64)
+            .map_err(|e| format!("journal in {}: {e}", state.display()))
+    };
+    // Where processes replace each other it may still be another's.
+    let alone = if inherited.is_none() { Some(open_journal()?) } else { None };
 
     let names = config.settings.names();
     let connect_timeout = config.settings.connect_timeout().unwrap_or(CONNECT_TIMEOUT).max(1);
@@ -139,6 +146,7 @@
     let settings = config.settings.settings();
     let fleet = Rc::new(RefCell::new(fleet::Fleet::new(names.clone())));
     let figures = Rc::new(Figures::default());
+    let shared = clients::Shared::default();
     let mgmt = door_address(config.mgmt)?;
     let calls = calls::Calls::new(
         fleet.clone(),
@@ -146,13 +154,19 @@
         Duration::from_micros(settings.idle_close.max(0) as u64),
         Duration::from_micros(connect_timeout as u64),
         config.limits.idle(settings.slots as usize, mgmt.is_some()),
+        shared.by_two.clone(),
     );
     let (inputs, inbox) = mpsc::channel(INPUTS_MOST);
     let (notices, queue) = mpsc::unbounded_channel();
     let standings = Standings::new();
     let (discovery, follow_discovery) = watch::channel(config.discovery);
-    let listener =
-        TcpListener::bind(config.listen).await.map_err(|e| format!("listen on {}: {e}", config.listen))?;
+    let listener = match inherited {
+        Some(_) => None,
+        None => {
+            let listener = TcpListener::bind(config.listen).await;
+            Some(listener.map_err(|e| format!("listen on {}: {e}", config.listen))?)
+        }
+    };
     // A version of nought means that there is no list yet, unless one was given with it.
     let index =
         config.known.as_ref().filter(|l| l.index > 0 || (ask_every.is_some() && !l.endpoints.is_empty()));
@@ -161,6 +175,42 @@
     let asking = Asking::new(ask_every, seed);
     // Where many senders take turns in asking, the list that was given must do at first.
     let list_wait = if asking.is_dear() { Duration::ZERO } else { LIST_WAIT };
+    if let Some(addr) = mgmt {
+        let door =
+            mgmt::Door { standings: standings.clone(), figures: figures.clone(), fleet: fleet.clone() };
+        let listener =
+            TcpListener::bind(addr).await.map_err(|e| format!("operators' door on {addr}: {e}"))?;
+        tokio::task::spawn_local(mgmt::serve(listener, door));
+    }
+    let follow = follow_discovery.clone();
+    tokio::task::spawn_local(discovery::follow(follow, index, asking, fleet.clone(), inputs.clone()));
+    tokio::task::spawn_local(notices::send(follow_discovery, queue, inputs.clone()));
+    tokio::task::spawn_local(reload(path, hang_up, discovery, figures.clone()));
+    let (told, stop) = (standings.clone(), inputs.clone());
+    tokio::task::spawn_local(async move {
+        terminate.recv().await;
+        _ = told.change(Change::Stop);
+        _ = stop.send(Input::Stop).await;
+    });
+    let (journal, handing, listener) = match (alone, listener, inherited) {
+        (Some(journal), Some(listener), _) => (journal, None, listener),
+        (_, _, Some(inherited)) => {
+            // All that needs no journal comes first: the shorter is the time in which no process serves.
+            let begun = tokio::time::Instant::now();
+            while inbox.is_empty() && begun.elapsed() < list_wait {
+                tokio::time::sleep(LIST_LOOK).await;
+            }
+            let taken = handover::take_over(&state, &standings).await;
+            let taken = taken.map_err(|e| format!("lock in {}: {e}", state.display()))?;
+            let Some(handover::Taken { lock, former }) = taken else { return Ok(()) };
+            let journal = open_journal()?;
+            let (asked, newcomers) = mpsc::channel(1);
+            let socket = lock.listen().map_err(|e| format!("socket in {}: {e}", state.display()))?;
+            tokio::task::spawn_local(handover::await_newcomers(socket, asked));
+            (journal, Some(Handing { lock, former, newcomers }), TcpListener::from_std(inherited)?)
+        }
+        _ => return Err("there is no address to listen on".into()),
+    };
     let driver = Driver::new(Parts {
         clock: Clock::start(),
         seed,
@@ -168,38 +218,17 @@
         settings,
         names,
         journal,
-        fleet: fleet.clone(),
+        fleet,
         calls,
         notices,
         inputs: inputs.clone(),
         standings: standings.clone(),
-        figures: figures.clone(),
+        figures,
+        shared: shared.clone(),
+        handing,
     })?;
-    tokio::task::spawn_local(clients::serve(
-        listener,
-        config.limits.clients(),
-        inputs.clone(),
-        standings.follow(),
-    ));
-    if let Some(addr) = mgmt {
-        let door = mgmt::Door { standings, figures: figures.clone(), fleet: fleet.clone() };
-        let listener =
-            TcpListener::bind(addr).await.map_err(|e| format!("operators' door on {addr}: {e}"))?;
-        tokio::task::spawn_local(mgmt::serve(listener, door));
-    }
-    tokio::task::spawn_local(discovery::follow(
-        follow_discovery.clone(),
-        index,
-        asking,
-        fleet,
-        inputs.clone(),
-    ));
-    tokio::task::spawn_local(notices::send(follow_discovery, queue, inputs.clone()));
-    tokio::task::spawn_local(reload(path, hang_up, discovery, figures));
-    tokio::task::spawn_local(async move {
-        terminate.recv().await;
-        _ = inputs.send(Input::Stop).await;
-    });
+    let bounds = config.limits.clients();
+    tokio::task::spawn_local(clients::serve(listener, bounds, inputs, standings.follow(), shared));
     driver.run(inbox, config.known).await;
     // Answers that the last round has decided are written still: a client that gets none has lost its message.
     tokio::time::sleep(LAST_WRITES).await;
--- a/crates/sender/src/driver.rs
+++ b/crates/sender/src/driver.rs
@@ -1,19 +1,22 @@
 //! The core: feeds the dispatcher with what happens, in rounds, and carries out what it decides.
 
 use crate::calls::{Calls, Item, Lane, Order};
+use crate::clients::Shared;
 use crate::clock::Clock;
 use crate::figures::{Ending, Figures};
 use crate::fleet::Fleet;
-use crate::input::{Ended, Input, Notice};
+use crate::handover::{Link, Lock};
+use crate::input::{Ended, Fate, Input, Notice};
 use crate::journal::{Accepted, Journal};
-use crate::standing::{Change, Standings};
+use crate::standing::{Change, Phase, Standings};
+use embershore_handover::{Frame, Owner, OwnerDo, OwnerEvent, State};
 use embershore_protocol::listing::Listing;
 use embershore_protocol::notice::End;
 use embershore_protocol::resp::{Put, Reply};
 use embershore_protocol::settings::Names;
 use heronroute::{
     Action, DestId, Dispatcher, Effect, EndpointEntry, EndpointId, Event, KindSettings, Micros, MsgId,
-    Outcome, Settings, Status,
+    OutCall, Outcome, Settings, Status,
 };
 use std::cell::RefCell;
 use std::cmp::Reverse;
@@ -29,6 +32,12 @@
 /// ... and the process this long, before it is killed.
 const EXIT_AFTER: Micros = 3_500_000;
 const RETIRE_EVERY: Micros = 500_000;
+/// Rounds in which a sender that hands over finishes what it has in hand: each may leave some events to the next.
+const LAST_ROUNDS: usize = 8;
+/// The next process is told of the last outcomes within this.
+const LAST_WORDS: Duration = Duration::from_millis(200);
+/// A sender that was replaced looks this often whether it has anything left.
+const LOOK_EVERY: Duration = Duration::from_millis(20);
 
 /// What a message needs while it is held, beside its journal entry.
 #[derive(Default)]
@@ -58,6 +67,24 @@
     pub inputs: mpsc::Sender<Input>,
     pub standings: Standings,
     pub figures: Rc<Figures>,
+    pub shared: Shared,
+    pub handing: Option<Handing>,
+}
+
+/// Where processes of a sender replace each other.
+pub struct Handing {
+    pub lock: Lock,
+    /// The process before this one: what it has handed over, and the link to it.
+    pub former: Option<(Box<State>, Link)>,
+    /// Processes that ask for the journal.
+    pub newcomers: mpsc::Receiver<(Owner, Link)>,
+}
+
+/// The process before this one, while it lives.
+struct Former {
+    say: mpsc::UnboundedSender<Frame>,
+    /// Attempts that it has out, and in which of its calls.
+    out: BTreeMap<(MsgId, u32), u64>,
 }
 
 pub struct Driver {
@@ -81,6 +108,11 @@
     inputs: mpsc::Sender<Input>,
     standings: Standings,
     figures: Rc<Figures>,
+    shared: Shared,
+    lock: Option<Lock>,
+    newcomer: Option<mpsc::Receiver<(Owner, Link)>>,
+    handed: Option<(Box<State>, Link)>,
+    former: Option<Former>,
     events: Vec<Event>,
     newcomers: BTreeMap<MsgId, Newcomer>,
     live: HashMap<MsgId, Live>,
@@ -96,7 +128,10 @@
     pub fn new(parts: Parts) -> Result<Self, heronroute::SettingsError> {
         let Parts { clock, seed, list_wait, settings, names, journal, fleet, calls, notices, inputs, .. } =
             parts;
-        let Parts { standings, figures, .. } = parts;
+        let Parts { standings, figures, shared, handing, .. } = parts;
+        let (lock, handed, newcomer) = handing
+            .map(|h| (h.lock, h.former, h.newcomers))
+            .map_or_else(Default::default, |(l, f, n)| (Some(l), f, Some(n)));
         figures.name_classes(&names.classes);
         let (kinds, quantum, max_open) =
             (settings.kinds.clone(), settings.quantum, settings.max_open as usize);
@@ -123,6 +158,11 @@
             inputs,
             standings,
             figures,
+            shared,
+            lock,
+            newcomer,
+            handed,
+            former: None,
             events: Vec::new(),
             newcomers: BTreeMap::new(),
             live: HashMap::new(),
@@ -144,6 +184,7 @@
         _ = self.standings.change(Change::Started);
         let mut last = self.clock.now();
         let mut retire = last;
+        let mut newcomers = self.newcomer.take();
         loop {
             let timer = self.timers.peek().map_or(Micros::MAX, |Reverse((at, _))| *at);
             let pending = if self.events.is_empty() { Micros::MAX } else { last };
@@ -162,6 +203,12 @@
                         continue;
                     }
                 }
+                Some((owner, link)) = next_of(&mut newcomers) => {
+                    if let Some(link) = self.hand_over(owner, link).await {
+                        return self.retire(inbox, link).await;
+                    }
+                    continue;
+                }
                 _ = tokio::time::sleep_until(self.clock.instant(wake)) => {}
             }
             last = self.clock.now();
@@ -213,10 +260,36 @@
         }
     }
 
-    /// Hands the dispatcher what an earlier run left in the journal.
+    /// Hands the dispatcher what an earlier run left in the journal, or what a process has that this one replaces.
     fn restore(&mut self) {
+        let handed = self.handed.take();
+        let mut out = Vec::new();
+        let (mut attempts, mut in_call) = (HashMap::new(), HashMap::new());
+        if let Some((state, link)) = handed {
+            let State { next_message, next_call, lame_duck, names, mut learnt, out: calls, .. } = *state;
+            self.journal.borrow_mut().number_from(next_message);
+            self.next_call = next_call;
+            if lame_duck {
+                _ = self.standings.change(Change::LameDuck(true));
+            }
+            let names: HashMap<EndpointId, String> = names.into_iter().collect();
+            let fleet = self.fleet.borrow();
+            // One that is listed no more, but has calls out, bears a number that no listed one will.
+            let number = |id: EndpointId| {
+                let known = names.get(&id).and_then(|name| fleet.number(name));
+                Some(known.unwrap_or(EndpointId(u32::MAX - id.0)))
+            };
+            learnt.renumber(number);
+            out = calls;
+            out.iter_mut().for_each(|call| call.renumber(number(call.endpoint()).unwrap_or_default()));
+            drop(fleet);
+            self.events.push(Event::Learnt(Box::new(learnt)));
+            attempts.extend(state.attempts);
+            in_call.extend(state.calls);
+            self.former = Some(self.listen_to(link, &out, &in_call));
+        }
         let (journal, fleet, now) = (self.journal.borrow(), self.fleet.borrow(), self.clock.now());
-        for (name, health) in journal.health() {
+        for (name, health) in journal.health().filter(|_| self.former.is_none()) {
             if let Some(endpoint) = fleet.number(name) {
                 self.events.push(Event::Recalled { endpoint, health });
             }
@@ -237,21 +310,195 @@
                 key: Some(message.order_key.clone()),
                 dest: DestId(message.dest),
                 time_left: message.deadline - now,
-                attempts: progress.attempts,
-                may_have_run: progress.unknown().map(|(name, at)| (number(name), *at)),
+                attempts: attempts.get(&MsgId(id)).copied().unwrap_or(progress.attempts),
+                // What the process before this one has out may still end well.
+                may_have_run: match in_call.get(&MsgId(id)) {
+                    Some(_) => progress.may_have_run.as_ref(),
+                    None => progress.unknown(),
+                }
+                .map(|(name, at)| (number(name), *at)),
             });
             self.by_request.insert(request_id, MsgId(id));
-            self.live.insert(MsgId(id), Live { attempts: progress.attempts, call: None });
+            let attempts = attempts.get(&MsgId(id)).copied().unwrap_or(progress.attempts);
+            self.live.insert(MsgId(id), Live { attempts, call: in_call.get(&MsgId(id)).copied() });
         }
         drop(journal);
-        let (mut journal, ids) = (self.journal.borrow_mut(), self.live.keys());
-        for id in ids {
+        if !out.is_empty() {
+            self.events.push(Event::Out(out));
+        }
+        let (mut journal, live) = (self.journal.borrow_mut(), self.live.iter());
+        for (id, _) in live.filter(|(_, live)| live.call.is_none()) {
             if let Err(e) = journal.settled(id.0, true) {
                 eprintln!("journal: {e}");
             }
         }
     }
 
+    /// Follows what the process before this one says, until it ends.
+    fn listen_to(&self, link: Link, out: &[OutCall], in_call: &HashMap<MsgId, u64>) -> Former {
+        // Unbounded: it tells its clients' messages, which its places bound, and its calls, which its slots do.
+        let ((say, to_say), (heard, mut frames)) = (mpsc::unbounded_channel(), mpsc::unbounded_channel());
+        let inputs = self.inputs.clone();
+        tokio::task::spawn_local(link.carry(to_say, heard));
+        tokio::task::spawn_local(async move {
+            while let Some(frame) = frames.recv().await {
+                _ = inputs.send(Input::Former(frame)).await;
+            }
+            _ = inputs.send(Input::FormerGone).await;
+        });
+        self.shared.by_two.set(true);
+        let attempts = out.iter().flat_map(OutCall::messages);
+        let out =
+            attempts.map(|(id, attempt)| ((id, attempt), in_call.get(&id).copied().unwrap_or(u64::MAX)));
+        Former { say, out: out.collect() }
+    }
+
+    /// What the process before this one says.
+    fn hear(&mut self, frame: Frame) {
+        let Some(former) = &mut self.former else { return };
+        match frame {
+            Frame::Put { number, put } => {
+                let (reply, answer) = oneshot::channel();
+                let say = former.say.clone();
+                tokio::task::spawn_local(async move {
+                    let reply = answer.await.unwrap_or(Reply::Busy { after_ms: 0 });
+                    _ = say.send(Frame::Reply { number, reply });
+                });
+                self.put(put, reply);
+            }
+            Frame::Ended { call, fates, elapsed, wait, report } => {
+                fates.iter().for_each(|f| _ = former.out.remove(&(f.id, f.attempt)));
+                self.ended(call, Ended { endpoint: EndpointId(u32::MAX), fates, elapsed, wait, report });
+            }
+            _ => {}
+        }
+    }
+
+    /// The process before this one has ended. What it had out may have run.
+    fn former_gone(&mut self) {
+        self.shared.by_two.set(false);
+        let Some(former) = self.former.take() else { return };
+        let lost = former.out.into_keys();
+        let fates = lost.map(|(id, attempt)| Fate { id, attempt, outcome: Outcome::Cancelled, over: false });
+        let fates: Vec<Fate> = fates.collect();
+        if !fates.is_empty() {
+            eprintln!("handover: the process before this one has ended with {} attempts out", fates.len());
+            let endpoint = EndpointId(u32::MAX);
+            self.ended(u64::MAX, Ended { endpoint, fates, elapsed: 0, wait: 0, report: None });
+        }
+    }
+
+    /// Gives the journal to a process that asks for it; the link to it once it has it. Otherwise this one serves on.
+    async fn hand_over(&mut self, mut owner: Owner, mut link: Link) -> Option<Link> {
+        for _ in 0..LAST_ROUNDS {
+            self.round();
+            if self.events.is_empty() {
+                break;
+            }
+        }
+        let state = Frame::State(Box::new(self.state()));
+        // Calls whose connections are still coming up can't begin from here on: none goes out unwritten.
+        self.journal.borrow_mut().close(true);
+        let lock = self.lock.as_ref()?;
+        let freed = lock.free();
+        let mut then = owner.on(OwnerEvent::Gave);
+        if freed.is_err() || link.say(&state).await.is_err() {
+            then = owner.on(OwnerEvent::Lost);
+        }
+        loop {
+            match then {
+                OwnerDo::Retire => return Some(link),
+                OwnerDo::ServeOn => {
+                    eprintln!("handover: the newcomer has not taken over; serving on");
+                    self.journal.borrow_mut().close(false);
+                    return None;
+                }
+                OwnerDo::Reclaim => {
+                    let mine = lock.take().unwrap_or(false);
+                    then = owner.on(OwnerEvent::Reclaimed(mine));
+                    if !mine {
+                        // Whoever has the lock writes the journal; once told to end there is nothing left to do.
+                        if self.standings.get().phase() == Phase::Stopping {
+                            return Some(link);
+                        }
+                        tokio::time::sleep(LOOK_EVERY).await;
+                    }
+                }
+                _ => {
+                    let frame = link.hear_soon().await;
+                    then = owner.on(frame.as_ref().map_or(OwnerEvent::Lost, OwnerEvent::Heard));
+                }
+            }
+        }
+    }
+
+    /// What the next process has to know beside the journal.
+    fn state(&self) -> State {
+        let (learnt, out) = self.dispatcher.hand_over();
+        let fleet = self.fleet.borrow();
+        let numbers = learnt.endpoints().chain(out.iter().map(OutCall::endpoint));
+        State {
+            next_message: self.journal.borrow().next_number(),
+            next_call: self.next_call,
+            lame_duck: self.standings.get().phase() == Phase::LameDuck,
+            attempts: self.live.iter().map(|(id, live)| (*id, live.attempts)).collect(),
+            names: numbers.filter_map(|id| Some((id, fleet.get(id)?.name.clone()))).collect(),
+            calls: self.live.iter().filter_map(|(id, live)| Some((*id, live.call?))).collect(),
+            learnt,
+            out,
+        }
+    }
+
+    /// After another process has taken over: passes on what still comes to this one, and ends with its last call and
+    /// its last client.
+    async fn retire(mut self, mut inbox: mpsc::Receiver<Input>, link: Link) {
+        _ = self.standings.change(Change::HandedOver);
+        self.calls.close_all();
+        self.figures.outstanding.set(0);
+        // Unbounded, as where it is read: places and slots bound what is told.
+        let ((say, to_say), (heard, mut frames)) = (mpsc::unbounded_channel(), mpsc::unbounded_channel());
+        let carrying = tokio::task::spawn_local(link.carry(to_say, heard));
+        let (mut asked, mut number, mut linked) = (HashMap::<u64, oneshot::Sender<Reply>>::new(), 0, true);
+        loop {
+            tokio::select! {
+                biased;
+                frame = frames.recv(), if linked => match frame {
+                    Some(Frame::Reply { number, reply }) => {
+                        _ = asked.remove(&number).map(|answer| answer.send(reply));
+                    }
+                    Some(Frame::Cancel { call }) => {
+                        _ = self.out.get_mut(&call).and_then(Option::take).map(|cancel| cancel.send(()));
+                    }
+                    Some(_) => {}
+                    // Dropping what waits tells its clients to come again.
+                    None => (linked, asked) = (false, HashMap::new()),
+                },
+                Some(input) = inbox.recv() => match input {
+                    Input::Put(put, answer) => {
+                        number += 1;
+                        if linked && say.send(Frame::Put { number, put }).is_ok() {
+                            asked.insert(number, answer);
+                        }
+                    }
+                    Input::Ended(call, Ended { fates, elapsed, wait, report, .. }) => {
+                        self.out.remove(&call);
+                        _ = say.send(Frame::Ended { call, fates, elapsed, wait, report });
+                    }
+                    Input::Stop => _ = self.stopping.get_or_insert(self.clock.now()),
+                    _ => {}
+                },
+                _ = tokio::time::sleep(LOOK_EVERY) => {}
+            }
+            let idle = self.out.is_empty() && self.shared.connections.get() == 0;
+            let late = self.stopping.is_some_and(|at| self.clock.now() - at >= EXIT_AFTER);
+            if idle || late {
+                break;
+            }
+        }
+        drop(say);
+        _ = tokio::time::timeout(LAST_WORDS, carrying).await;
+    }
+
     fn take(&mut self, input: Input) {
         match input {
             Input::Put(put, reply) => self.put(put, reply),
@@ -264,6 +511,8 @@
                 self.unconfirmed = self.unconfirmed.saturating_sub(ids.len());
                 self.note(|j| j.noticed(ids));
             }
+            Input::Former(frame) => self.hear(frame),
+            Input::FormerGone => self.former_gone(),
             Input::Stop => {
                 let now = self.clock.now();
                 _ = self.standings.change(Change::Stop);
@@ -305,7 +554,7 @@
         let class = index(&self.names.classes, &put.class);
         if let Some(why) = self.wrong(class, &put) {
             self.figures.count(&put.class, Ending::Wrong);
-            _ = reply.send(Reply::Wrong(why));
+            _ = reply.send(Reply::Wrong(why.into()));
             return;
         }
         let id = MsgId(self.journal.borrow_mut().number());
@@ -412,7 +661,7 @@
                 self.figures.count(&put.class, if busy { Ending::Refused } else { Ending::Wrong });
                 self.by_request.remove(&put.request_id);
                 self.live.remove(id);
-                _ = reply.send(*answer);
+                _ = reply.send(answer.clone());
                 continue;
             }
             let (request_id, class) = (put.request_id.clone(), put.class.clone());
@@ -433,7 +682,8 @@
                     Reply::Busy { after_ms: 1000 }
                 }
             };
-            if reply.send(answer).is_err() || answer != Reply::Taken {
+            let taken = answer == Reply::Taken;
+            if reply.send(answer).is_err() || !taken {
                 // Its client has gone without an answer, or is told to come again.
                 self.figures.count(&class, Ending::Refused);
                 self.note(|j| j.ended(id.0, End::Over));
@@ -455,6 +705,10 @@
                     let call = self.live.get(&id).and_then(|l| l.call);
                     if let Some(cancel) = call.and_then(|c| self.out.get_mut(&c)).and_then(Option::take) {
                         _ = cancel.send(());
+                    } else if let (Some(former), Some(call)) = (&self.former, call)
+                        && former.out.values().any(|c| *c == call)
+                    {
+                        _ = former.say.send(Frame::Cancel { call });
                     }
                 }
                 Action::Refuse { id, retry_after } => {
@@ -610,6 +864,14 @@
     }
 }
 
+/// The next process that asks for the journal, where one can.
+async fn next_of(newcomers: &mut Option<mpsc::Receiver<(Owner, Link)>>) -> Option<(Owner, Link)> {
+    match newcomers {
+        Some(newcomers) => newcomers.recv().await,
+        None => std::future::pending().await,
+    }
+}
+
 fn index(names: &[String], name: &str) -> usize {
     names.iter().position(|n| n == name).unwrap_or(usize::MAX)
 }
--- /dev/null
+++ b/crates/sender/src/handover.rs
@@ -0,0 +1,265 @@
+//! One process replaced by another: the lock on the journal's folder, and the link between the two.
+//! `embershore-handover` says what follows from what.
+
+use crate::standing::{Change, Phase, Standings};
+use embershore_handover::{
+    Decoder, Frame, Newcomer, NewcomerDo, NewcomerEvent, Owner, OwnerDo, OwnerEvent, State, encode,
+};
+use std::fs::{File, OpenOptions, TryLockError};
+use std::io;
+use std::os::fd::AsRawFd;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{UnixListener, UnixStream};
+use tokio::sync::mpsc;
+
+/// A word of the other process that is waited for comes within this. The owner finishes what it has in hand and writes
+/// the state; the newcomer takes the lock.
+pub const WORD_TIME: Duration = Duration::from_millis(1000);
+/// Between two looks at who has the lock.
+const LOOK_EVERY: Duration = Duration::from_millis(20);
+/// A newcomer that has not got the journal by then is ready all the same: the platform then ends the owner, which
+/// does not answer, and the lock is free. Until then clients wait at the door.
+const OWNER_PATIENCE: Duration = Duration::from_millis(4500);
+const READ_AHEAD: usize = 16 * 1024;
+
+/// The lock by which one process owns the journal. It ends with its process at the latest.
+pub struct Lock {
+    file: File,
+    folder: Folder,
+}
+
+/// The folder that lasts, by a path short enough for a socket's name.
+pub struct Folder {
+    _open: File,
+    path: PathBuf,
+}
+
+impl Folder {
+    pub fn open(path: &Path) -> io::Result<Self> {
+        let open = File::open(path)?;
+        // A socket's name holds some hundred bytes, the folder's may be longer.
+        let path = PathBuf::from(format!("/proc/self/fd/{}", open.as_raw_fd()));
+        Ok(Folder { _open: open, path })
+    }
+
+    fn socket(&self) -> PathBuf {
+        self.path.join("handover")
+    }
+}
+
+impl Lock {
+    fn new(folder: Folder) -> io::Result<Self> {
+        let file =
+            OpenOptions::new().write(true).create(true).truncate(false).open(folder.path.join("lock"))?;
+        Ok(Lock { file, folder })
+    }
+
+    /// Whether the lock is this process's now.
+    pub fn take(&self) -> io::Result<bool> {
+        match self.file.try_lock() {
+            Ok(()) => Ok(true),
+            Err(TryLockError::WouldBlock) => Ok(false),
+            Err(TryLockError::Error(e)) => Err(e),
+        }
+    }
+
+    /// Gives it free.
+    pub fn free(&self) -> io::Result<()> {
+        self.file.unlock()
+    }
+
+    /// The socket at which newcomers ask. Only the lock's holder makes it, in the place of one that an earlier process
+    /// left.
+    pub fn listen(&self) -> io::Result<UnixListener> {
+        let path = self.folder.socket();
+        match std::fs::remove_file(&path) {
+            Err(e) if e.kind() != io::ErrorKind::NotFound => Err(e),
+            _ => UnixListener::bind(path),
+        }
+    }
+}
+
+/// A connection between the two processes.
+pub struct Link {
+    stream: UnixStream,
+    decoder: Decoder,
+}
+
+impl Link {
+    fn new(stream: UnixStream) -> Self {
+        Link { stream, decoder: Decoder::default() }
+    }
+
+    pub async fn say(&mut self, frame: &Frame) -> io::Result<()> {
+        let bytes = encode(frame).map_err(io::Error::other)?;
+        tokio::time::timeout(WORD_TIME, self.stream.write_all(&bytes)).await?
+    }
+
+    /// The next frame, for as long as it takes; nothing once the other side has ended. Nothing is lost if it is not
+    /// waited for to the end.
+    pub async fn hear(&mut self) -> io::Result<Option<Frame>> {
+        loop {
+            if let Some(frame) = self.decoder.decode().map_err(io::Error::other)? {
+                return Ok(Some(frame));
+            }
+            self.decoder.buf.reserve(READ_AHEAD);
+            if self.stream.read_buf(&mut self.decoder.buf).await? == 0 {
+                return Ok(None);
+            }
+        }
+    }
+
+    /// The next frame, if it comes in time.
+    pub async fn hear_soon(&mut self) -> Option<Frame> {
+        match tokio::time::timeout(WORD_TIME, self.hear()).await {
+            Ok(Ok(frame)) => frame,
+            Ok(Err(e)) => {
+                eprintln!("handover: {e}");
+                None
+            }
+            Err(_) => None,
+        }
+    }
+
+    /// Reads and writes in turns, until either side ends: what comes goes to `heard`.
+    pub async fn carry(
+        mut self,
+        mut to_say: mpsc::UnboundedReceiver<Frame>,
+        heard: mpsc::UnboundedSender<Frame>,
+    ) {
+        loop {
+            tokio::select! {
+                biased;
+                frame = to_say.recv() => match frame {
+                    Some(frame) if self.say(&frame).await.is_ok() => {}
+                    _ => return,
+                },
+                frame = self.hear() => match frame {
+                    Ok(Some(frame)) => {
+                        if heard.send(frame).is_err() {
+                            return;
+                        }
+                    }
+                    _ => return,
+                },
+            }
+        }
+    }
+}
+
+/// Lets newcomers in, one after the other, and tells the driver of each that asks for the journal. Ends with the
+/// channel, once this process owns nothing any more.
+pub async fn await_newcomers(listener: UnixListener, asked: mpsc::Sender<(Owner, Link)>) {
+    loop {
+        let mut link = match listener.accept().await {
+            Ok((stream, _)) => Link::new(stream),
+            Err(e) => {
+                eprintln!("handover: accept: {e}");
+                tokio::time::sleep(LOOK_EVERY).await;
+                continue;
+            }
+        };
+        let mut owner = Owner::default();
+        loop {
+            let event = link.hear_soon().await;
+            let then = owner.on(event.as_ref().map_or(OwnerEvent::Lost, OwnerEvent::Heard));
+            match then {
+                OwnerDo::Greet => {
+                    let hello = Frame::Hello { version: embershore_handover::VERSION };
+                    if link.say(&hello).await.is_err() {
+                        break;
+                    }
+                }
+                OwnerDo::Give => {
+                    if asked.send((owner, link)).await.is_err() {
+                        return;
+                    }
+                    break;
+                }
+                _ => {
+                    eprintln!("handover: a newcomer has not asked as this version does, or has gone");
+                    break;
+                }
+            }
+        }
+    }
+}
+
+/// What a newcomer has got: the lock, and where the process before it lives, its state and the link to it.
+pub struct Taken {
+    pub lock: Lock,
+    pub former: Option<(Box<State>, Link)>,
+}
+
+/// Waits until this process owns the journal; nothing if it is told to end before.
+pub async fn take_over(folder: &Path, standings: &Standings) -> io::Result<Option<Taken>> {
+    let lock = Lock::new(Folder::open(folder)?)?;
+    let mut follow = standings.follow();
+    let work = async {
+        let patience = async {
+            tokio::time::sleep(OWNER_PATIENCE).await;
+            eprintln!("handover: the process before this one does not answer; ready for when it has ended");
+            _ = standings.change(Change::Standby);
+            std::future::pending::<()>().await;
+        };
+        tokio::select! {
+            former = become_owner(&lock) => former,
+            () = patience => Ok(None),
+        }
+    };
+    let former = tokio::select! {
+        former = work => former?,
+        _ = follow.wait_for(|s| s.phase() == Phase::Stopping) => return Ok(None),
+    };
+    Ok(Some(Taken { lock, former }))
+}
+
+async fn become_owner(lock: &Lock) -> io::Result<Option<(Box<State>, Link)>> {
+    let (mut newcomer, mut link, mut told) = (Newcomer::default(), None::<Link>, None);
+    let mut then = newcomer.on(NewcomerEvent::Lock(lock.take()?));
+    loop {
+        then = match then {
+            NewcomerDo::Start => return Ok(None),
+            NewcomerDo::GoOn => {
+                let (Some(mut link), Some(state)) = (link.take(), told.take()) else { return Ok(None) };
+                // If it is not heard, the owner finds the lock taken.
+                _ = link.say(&Frame::Taken).await;
+                return Ok(Some((state, link)));
+            }
+            NewcomerDo::TryLock => newcomer.on(NewcomerEvent::Lock(lock.take()?)),
+            NewcomerDo::Pause => {
+                (link, told) = (None, None);
+                tokio::time::sleep(LOOK_EVERY).await;
+                newcomer.on(NewcomerEvent::Lock(lock.take()?))
+            }
+            NewcomerDo::Greet => {
+                link = UnixStream::connect(lock.folder.socket()).await.ok().map(Link::new);
+                let hello = Frame::Hello { version: embershore_handover::VERSION };
+                said(&mut newcomer, &mut link, &hello).await
+            }
+            NewcomerDo::Ask => said(&mut newcomer, &mut link, &Frame::Take).await,
+            NewcomerDo::Wait => {
+                let frame = match &mut link {
+                    Some(link) => link.hear_soon().await,
+                    None => None,
+                };
+                let then = newcomer.on(frame.as_ref().map_or(NewcomerEvent::Lost, NewcomerEvent::Heard));
+                if let Some(Frame::State(state)) = frame {
+                    told = Some(state);
+                }
+                then
+            }
+        };
+    }
+}
+
+/// Says something to the owner; what follows if it can't be said.
+async fn said(newcomer: &mut Newcomer, link: &mut Option<Link>, frame: &Frame) -> NewcomerDo {
+    let well = match link {
+        Some(link) => link.say(frame).await.is_ok(),
+        None => false,
+    };
+    if well { NewcomerDo::Wait } else { newcomer.on(NewcomerEvent::Lost) }
+}
--- a/crates/sender/src/input.rs
+++ b/crates/sender/src/input.rs
@@ -1,30 +1,31 @@
 //! What the parts of the sender tell each other.
 
+use embershore_handover::Frame;
 use embershore_protocol::notice::End;
 use embershore_protocol::resp::{Put, Reply};
-use heronroute::{EndpointEntry, EndpointId, Micros, MsgId, Outcome, Report};
+use heronroute::{EndpointEntry, EndpointId, Micros, Outcome, Report};
 use tokio::sync::oneshot;
 
 /// What can happen to a sender.
 #[derive(Debug)]
 pub enum Input {
     Put(Put, oneshot::Sender<Reply>),
-    Members { index: u64, whole: bool, entries: Vec<EndpointEntry> },
+    Members {
+        index: u64,
+        whole: bool,
+        entries: Vec<EndpointEntry>,
+    },
     Ended(u64, Ended),
     Probed(EndpointId, Outcome, Option<Report>),
     Noticed(Vec<u64>),
+    /// What the process that this one replaces has to say.
+    Former(Frame),
+    /// It has ended.
+    FormerGone,
     Stop,
 }
 
-/// How a message fared in a call.
-#[derive(Clone, Debug)]
-pub struct Fate {
-    pub id: MsgId,
-    pub attempt: u32,
-    pub outcome: Outcome,
-    /// Nothing more is owed.
-    pub over: bool,
-}
+pub use embershore_handover::Fate;
 
 /// How a call ended.
 #[derive(Debug)]
--- a/crates/sender/src/journal.rs
+++ b/crates/sender/src/journal.rs
@@ -96,6 +96,8 @@
     barred: BTreeMap<String, u64>,
     live: u64,
     next: u64,
+    /// Another process writes to it.
+    closed: bool,
 }
 
 fn encode(record: &Record) -> io::Result<Vec<u8>> {
@@ -130,7 +132,8 @@
         let mut bytes = Vec::new();
         file.read_to_end(&mut bytes)?;
         let (entries, health, barred) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
-        let mut journal = Journal { path, file, len: 0, limit, entries, health, barred, live: 0, next: 1 };
+        let mut journal =
+            Journal { path, file, len: 0, limit, entries, health, barred, live: 0, next: 1, closed: false };
         let mut at = 0;
         while let Some((record, size)) = decode(&bytes[at..]) {
             at += size;
@@ -196,6 +199,9 @@
 
     /// Guards the disk limit: old and new file together stay under it, whenever the journal is compacted.
     fn append(&mut self, record: Record, reserve: u64) -> io::Result<()> {
+        if self.closed {
+            return Err(io::Error::other("another process has the journal"));
+        }
         let frame = encode(&record)?;
         let size = frame.len() as u64;
         let fits = |j: &Journal| j.len + j.compacted() + 2 * size + 2048 <= j.limit - reserve;
@@ -257,6 +263,21 @@
         self.next - 1
     }
 
+    /// Numbers below this have been given by the process before this one.
+    pub fn number_from(&mut self, next: u64) {
+        self.next = self.next.max(next);
+    }
+
+    /// The number that comes next.
+    pub fn next_number(&self) -> u64 {
+        self.next
+    }
+
+    /// While it is another process's, nothing is written.
+    pub fn close(&mut self, closed: bool) {
+        self.closed = closed;
+    }
+
     /// A call with these messages is about to be written.
     pub fn started(&mut self, ids: Vec<u64>, endpoint: &str, at: Micros) -> io::Result<()> {
         self.append(Record::Started(ids, (endpoint.to_string(), at)), 0)
--- a/crates/sender/src/lib.rs
+++ b/crates/sender/src/lib.rs
@@ -4,7 +4,7 @@
 //! arguments of everything else that the one binary does.
 
 #![warn(missing_docs)]
-#![forbid(unsafe_code)]
+#![deny(unsafe_code)]
 
 mod asking;
 mod calls;
@@ -18,6 +18,8 @@
 mod driver;
 mod figures;
 mod fleet;
+mod handover;
+mod inherited;
 mod input;
 mod journal;
 mod matrix;
--- a/crates/sender/src/mgmt.rs
+++ b/crates/sender/src/mgmt.rs
@@ -56,6 +56,8 @@
         match path {
             "/_ready" => match self.standings.get().phase() {
                 Phase::Serving => text(StatusCode::OK, "ready"),
+                Phase::Standby => text(StatusCode::OK, "ready once the process before it has ended"),
+                Phase::HandedOver => text(StatusCode::SERVICE_UNAVAILABLE, "replaced by another process"),
                 Phase::Starting => text(StatusCode::SERVICE_UNAVAILABLE, "starting"),
                 Phase::LameDuck => text(StatusCode::SERVICE_UNAVAILABLE, "lame duck: told to empty itself"),
                 Phase::Stopping => text(StatusCode::SERVICE_UNAVAILABLE, "stopping"),
@@ -64,7 +66,7 @@
             path => match self.standings.change(Change::LameDuck(path.ends_with("/on"))) {
                 Ok(standing) if standing.phase() == Phase::LameDuck => text(StatusCode::OK, "lame duck"),
                 Ok(_) => text(StatusCode::OK, "noted"),
-                Err(_) => text(StatusCode::CONFLICT, "the sender has been told to end"),
+                Err(_) => text(StatusCode::CONFLICT, "the process has been told to end, or replaced"),
             },
         }
     }
--- a/crates/sender/src/standing.rs
+++ b/crates/sender/src/standing.rs
@@ -16,10 +16,14 @@
 pub enum Phase {
     /// It has not read its list yet, nor what an earlier run left.
     Starting,
+    /// Its start waits for the process before it, which does not answer and is about to be ended.
+    Standby,
     /// It takes messages.
     Serving,
     /// It has been told to empty itself, and serves what it has.
     LameDuck,
+    /// Another process of this sender has taken its place: it ends with its last call.
+    HandedOver,
     /// It has been told to end.
     Stopping,
 }
@@ -31,6 +35,10 @@
     Started,
     /// The operators empty the sender, or let it have clients again.
     LameDuck(bool),
+    /// The process before this one does not let go of the journal.
+    Standby,
+    /// The next process has the journal.
+    HandedOver,
     /// SIGTERM.
     Stop,
 }
@@ -44,7 +52,9 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Standing {
     started: bool,
+    standby: bool,
     lame_duck: Option<Instant>,
+    handed_over: Option<Instant>,
     stopping: Option<Instant>,
 }
 
@@ -53,6 +63,8 @@
     pub fn phase(&self) -> Phase {
         match self {
             Standing { stopping: Some(_), .. } => Phase::Stopping,
+            Standing { handed_over: Some(_), .. } => Phase::HandedOver,
+            Standing { started: false, standby: true, lame_duck: None, .. } => Phase::Standby,
             Standing { started: false, .. } => Phase::Starting,
             Standing { lame_duck: Some(_), .. } => Phase::LameDuck,
             _ => Phase::Serving,
@@ -61,12 +73,14 @@
 
     /// Whether new clients are welcome: what `PING` and `/_ready` answer.
     pub fn ready(&self) -> bool {
-        self.phase() == Phase::Serving
+        matches!(self.phase(), Phase::Serving | Phase::Standby)
     }
 
     /// From when on clients' connections close between requests, if they do.
     pub fn closes_at(&self) -> Option<Instant> {
-        [self.lame_duck, self.stopping].into_iter().flatten().min().map(|since| since + CLIENTS_STAY)
+        let empties = [self.lame_duck, self.stopping].into_iter().flatten().min();
+        // The next process has clients' new connections already.
+        empties.map(|since| since + CLIENTS_STAY).into_iter().chain(self.handed_over).min()
     }
 
     /// Whether a message that comes now is refused, since clients were to be elsewhere long ago.
@@ -77,13 +91,17 @@
     /// The state after a change.
     ///
     /// # Errors
-    /// Once the process has been told to end it does not take clients again.
+    /// Once the process has been told to end, or has been replaced, it does not take clients again.
     pub fn after(mut self, change: Change, now: Instant) -> Result<Self, TooLate> {
         match change {
             Change::Started => self.started = true,
             Change::LameDuck(true) => _ = self.lame_duck.get_or_insert(now),
-            Change::LameDuck(false) if self.stopping.is_some() => return Err(TooLate),
+            Change::LameDuck(false) if self.stopping.is_some() || self.handed_over.is_some() => {
+                return Err(TooLate);
+            }
             Change::LameDuck(false) => self.lame_duck = None,
+            Change::Standby => self.standby = true,
+            Change::HandedOver => _ = self.handed_over.get_or_insert(now),
             Change::Stop => _ = self.stopping.get_or_insert(now),
         }
         Ok(self)
@@ -154,8 +172,8 @@
 
     #[test]
     fn each_row_of_the_table_of_phases() {
-        use Change::{LameDuck as Lame, Started, Stop};
-        let rows: [(&[Change], Phase); 14] = [
+        use Change::{HandedOver, LameDuck as Lame, Standby, Started, Stop};
+        let rows: [(&[Change], Phase); 20] = [
             (&[], Phase::Starting),
             (&[Started], Phase::Serving),
             (&[Started, Started], Phase::Serving),
@@ -170,11 +188,18 @@
             (&[Started, Lame(true), Stop], Phase::Stopping),
             (&[Started, Stop, Lame(false), Started], Phase::Stopping),
             (&[Stop], Phase::Stopping),
+            (&[Standby], Phase::Standby),
+            (&[Standby, Lame(true)], Phase::Starting),
+            (&[Standby, Started], Phase::Serving),
+            (&[Started, HandedOver], Phase::HandedOver),
+            (&[Started, Lame(true), HandedOver, Lame(false)], Phase::HandedOver),
+            (&[Started, HandedOver, Stop], Phase::Stopping),
         ];
         for (changes, phase) in rows {
             let (_, standing) = played(changes);
             assert_eq!(standing.phase(), phase, "{changes:?}");
-            assert_eq!(standing.ready(), phase == Phase::Serving, "{changes:?}");
+            let ready = matches!(phase, Phase::Serving | Phase::Standby);
+            assert_eq!(standing.ready(), ready, "{changes:?}");
         }
     }
 
--- a/crates/sender/tests/common/mod.rs
+++ b/crates/sender/tests/common/mod.rs
@@ -425,13 +425,7 @@
 
     /// Makes a call at the operators' door: its status and what it says.
     pub fn ask(&self, call: &str) -> (u16, String) {
-        let mut stream = TcpStream::connect(self.door).unwrap();
-        stream.set_read_timeout(Some(LIMIT)).unwrap();
-        stream.write_all(format!("{call} HTTP/1.1\r\nhost: door\r\n\r\n").as_bytes()).unwrap();
-        let mut answer = String::new();
-        stream.read_to_string(&mut answer).unwrap();
-        let status = answer.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0);
-        (status, answer.split_once("\r\n\r\n").map(|(_, body)| body.to_string()).unwrap_or_default())
+        ask(self.door, call).unwrap()
     }
 
     /// The figures that the operators' door tells.
@@ -542,6 +536,17 @@
     }
 }
 
+/// Makes a call at an operators' door, if there is one.
+pub fn ask(door: SocketAddr, call: &str) -> Option<(u16, String)> {
+    let mut stream = TcpStream::connect(door).ok()?;
+    stream.set_read_timeout(Some(LIMIT)).unwrap();
+    stream.write_all(format!("{call} HTTP/1.1\r\nhost: door\r\n\r\n").as_bytes()).ok()?;
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).ok()?;
+    let status = answer.split(' ').nth(1)?.parse().ok()?;
+    Some((status, answer.split_once("\r\n\r\n").map(|(_, body)| body.to_string()).unwrap_or_default()))
+}
+
 pub fn resp(args: &[&[u8]]) -> Vec<u8> {
     let mut out = format!("*{}\r\n", args.len()).into_bytes();
     for a in args {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -1,5 +1,6 @@
 //! The types through which a sender and a [`Dispatcher`](crate::Dispatcher) talk: settings, events, actions.
 
+use crate::handed::{Learnt, OutCall};
 use std::fmt;
 
 /// Time in microseconds on the sender's own clock, or a span of it.
@@ -7,14 +8,17 @@
 
 /// A message, by the sender's number for it. Numbers are never used twice.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct MsgId(pub u64);
 
 /// An endpoint, by the sender's number for it; the same number whenever it is named again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct EndpointId(pub u32);
 
 /// A destination: the receiver that a message is meant for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct DestId(pub i64);
 
 /// What a second delivery of a message would do.
@@ -286,6 +290,7 @@
 
 /// How an attempt or a probe ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub enum Outcome {
     /// Delivered.
     Done,
@@ -316,6 +321,7 @@
 
 /// What an endpoint tells of its limit.
 #[derive(Clone, Copy, Debug, PartialEq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct Report {
     /// Share of the allowance that is left.
     pub left: Option<f64>,
@@ -385,6 +391,11 @@
         /// As [`Dispatcher::health`](crate::Dispatcher::health) told it.
         health: Health,
     },
+    /// What another process's dispatcher knew that this one goes on for, once its endpoints have been listed.
+    Learnt(Box<Learnt>),
+    /// The calls which that process still has out, once its messages have been restored. Their outcomes come like any
+    /// other's.
+    Out(Vec<OutCall>),
     /// The sender ends at this time: nothing is to begin that would not end before.
     Stopping {
         /// When.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -42,10 +42,12 @@
 #![warn(missing_docs)]
 #![forbid(unsafe_code)]
 
+mod handed;
 mod interface;
 mod logic;
 mod state;
 
+pub use handed::{Learnt, OutCall};
 pub use interface::*;
 pub use logic::Dispatcher;
 
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -113,7 +113,7 @@
     fn slow(&self) -> bool {
         self.n > 0.0 && self.recent > self.p99()
     }
-    fn silence(&self) -> f64 {
+    pub(crate) fn silence(&self) -> f64 {
         (SILENCE * self.p99()).max(2.0 * self.recent).max(SILENCE_LEAST)
     }
 }
@@ -123,8 +123,8 @@
 pub struct Dispatcher {
     now: Micros,
     random: u64,
-    set: Settings,
-    seq: u64,
+    pub(crate) set: Settings,
+    pub(crate) seq: u64,
     pub(crate) lanes: BTreeMap<LaneKey, Lane>,
     pub(crate) dests: BTreeMap<DestId, Dest>,
     pub(crate) endpoints: BTreeMap<EndpointId, Endpoint>,
@@ -132,15 +132,15 @@
     pub(crate) calls: BTreeMap<u64, Call>,
     pub(crate) keys: BTreeMap<String, Key>,
     /// What falls due when: a round looks at this and at `ready`, never at all that exists.
-    agenda: BTreeSet<(Micros, Due)>,
+    pub(crate) agenda: BTreeSet<(Micros, Due)>,
     /// Destinations with a hold for which something has changed, or that wait for a slot.
-    ready: BTreeSet<DestId>,
+    pub(crate) ready: BTreeSet<DestId>,
     plain: ClassSettings,
     /// When each kind last refused a connection; endpoints whose calls ended in this round.
     scarce: BTreeMap<usize, Micros>,
     idle: BTreeSet<EndpointId>,
     open: usize,
-    used: u32,
+    pub(crate) used: u32,
     sweep_at: Micros,
     wake: Micros,
     /// When this sender ends, once it has been told to.
@@ -186,6 +186,8 @@
                 let msg = Msg { class, key, dest, attempts, may_run, ..Msg::default() };
                 self.restore(*id, msg, *time_left, out);
             }
+            Event::Learnt(learnt) => self.learn(learnt),
+            Event::Out(calls) => self.adopt(calls),
             Event::Recalled { endpoint, health } => self.recall(*endpoint, *health),
             Event::Stopping { at } => self.stop_at = Some(*at),
             Event::Outcome { id, attempt, outcome, last, elapsed, wait, report, .. } => {
--- a/src/state.rs
+++ b/src/state.rs
@@ -4,7 +4,8 @@
 use std::collections::BTreeSet;
 
 /// What has one limit and one pool: a destination, or a route of it where routes are apart.
-#[derive(Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub(crate) enum LaneKey {
     #[default]
     Nowhere,
@@ -13,7 +14,8 @@
 }
 
 /// Events a second, fading with its memory.
-#[derive(Clone, Copy, Default)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub(crate) struct Rate {
     pub(crate) born: Micros,
     pub(crate) at: Micros,
@@ -22,7 +24,8 @@
 }
 
 /// Latency as a log-normal, which gives a p99 from few samples.
-#[derive(Clone, Copy, Default)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub(crate) struct Latency {
     pub(crate) n: f64,
     pub(crate) mu: f64,
@@ -31,7 +34,8 @@
 }
 
 /// A lane's pool, pace and wait.
-#[derive(Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub(crate) struct Lane {
     pub(crate) dest: DestId,
     pub(crate) limit: Option<f64>,
@@ -70,7 +74,8 @@
 }
 
 /// An endpoint under suspicion, and the trials by which it is asked.
-#[derive(Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub(crate) struct Trouble {
     pub(crate) next: Micros,
     pub(crate) backoff: Micros,
@@ -84,6 +89,8 @@
 }
 
 /// What came back, an endpoint or a lane, and is loaded bit by bit.
+#[derive(Clone, Debug, PartialEq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub(crate) struct Warm {
     pub(crate) since: Micros,
     pub(crate) tokens: f64,
@@ -92,7 +99,8 @@
 }
 
 /// An endpoint's use and health.
-#[derive(Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub(crate) struct Endpoint {
     pub(crate) lane: LaneKey,
     pub(crate) dest: DestId,
@@ -138,7 +146,8 @@
 }
 
 /// A call that is out, with the messages that share its fate.
-#[derive(Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub(crate) struct Call {
     pub(crate) endpoint: EndpointId,
     pub(crate) sent: Micros,
