--- a/crates/protocol/src/settings.rs
+++ b/crates/protocol/src/settings.rs
@@ -5,7 +5,7 @@
 };
 use serde::Deserialize;
 
-#[derive(Deserialize)]
+#[derive(Clone, Deserialize)]
 #[serde(rename_all = "PascalCase", default)]
 struct Profile {
     name: String,
@@ -36,7 +36,7 @@
     }
 }
 
-#[derive(Deserialize, Default)]
+#[derive(Clone, Deserialize, Default)]
 #[serde(rename_all = "PascalCase", default)]
 struct FamilyInfo {
     batch_by_kind: Vec<u32>,
@@ -46,7 +46,7 @@
     workers: Option<u32>,
 }
 
-#[derive(Deserialize, Default)]
+#[derive(Clone, Deserialize, Default)]
 #[serde(rename_all = "PascalCase", default)]
 struct Limits {
     cancel: bool,
@@ -61,14 +61,14 @@
     streams_per_conn: Option<u32>,
 }
 
-#[derive(Deserialize, Default)]
+#[derive(Clone, Deserialize, Default)]
 #[serde(rename_all = "PascalCase", default)]
 struct Prices {
     cross_zone: f64,
     handshake: f64,
 }
 
-#[derive(Deserialize, Default)]
+#[derive(Clone, Deserialize, Default)]
 #[serde(rename_all = "PascalCase", default)]
 struct Rules {
     drain_grace_us: Micros,
@@ -80,7 +80,7 @@
     order_settle_us: Micros,
 }
 
-#[derive(Deserialize, Default)]
+#[derive(Clone, Deserialize, Default)]
 #[serde(rename_all = "PascalCase", default)]
 struct Customer {
     name: String,
@@ -101,7 +101,7 @@
 }
 
 /// The settings as the wire gives them.
-#[derive(Deserialize, Default)]
+#[derive(Clone, Deserialize, Default)]
 #[serde(rename_all = "PascalCase", default)]
 pub struct ProfileData {
     azs: Vec<String>,
@@ -145,7 +145,9 @@
     /// Puts the wire's settings into the library's words; where the wire is silent, its defaults stand.
     pub fn settings(self) -> Settings {
         let d = Settings::default();
+        let attempts = self.limits.max_attempts;
         let class = |p: Profile| ClassSettings {
+            attempts,
             aim: p.objective_us,
             deadline: p.hard_limit_us,
             effect: match p.effect.as_str() {
--- a/crates/sender/src/daemon.rs
+++ b/crates/sender/src/daemon.rs
@@ -6,10 +6,11 @@
 use crate::figures::Figures;
 use crate::input::Input;
 use crate::standing::{Change, Standings};
-use crate::{calls, clients, discovery, fleet, handover, inherited, journal, mgmt, notices};
+use crate::{calls, clients, discovery, fleet, handover, inherited, journal, mgmt, notices, retune};
 use embershore_protocol::listing::Listing;
 use embershore_protocol::settings::ProfileData;
 use serde::Deserialize;
+use serde_json::Value;
 use std::cell::RefCell;
 use std::error::Error;
 use std::net::SocketAddr;
@@ -83,32 +84,57 @@
 
 impl Config {
     pub(crate) fn read(path: &Path) -> Result<Self, String> {
+        Ok(Self::read_with_value(path)?.0)
+    }
+
+    /// The configuration, and what stands in the file.
+    fn read_with_value(path: &Path) -> Result<(Self, Value), String> {
         let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
-        serde_json::from_str(&text).map_err(|e| format!("{}: {e}", path.display()))
+        let both = serde_json::from_str(&text).and_then(|config| Ok((config, serde_json::from_str(&text)?)));
+        both.map_err(|e| format!("{}: {e}", path.display()))
+    }
+
+    /// The same, where it may be taken over by a sender that runs by `running`.
+    fn read_again(path: &Path, running: &Value) -> Result<(Self, Value), String> {
+        let (config, value) = Self::read_with_value(path)?;
+        let at = |e: &dyn std::fmt::Display| format!("{}: {e}", path.display());
+        retune::check(running, &value).map_err(|e| at(&e))?;
+        config.settings.clone().settings().validate().map_err(|e| at(&e))?;
+        Ok((config, value))
     }
 }
 
-/// Takes over what a new configuration may change in a running sender, which is where discovery is. The rest
-/// holds from the next start on. A file that cannot be read or is wrong changes nothing.
-async fn reload(
+/// Where a new configuration's parts go.
+struct Reload {
     path: PathBuf,
-    mut hang_up: Signal,
+    /// What the running configuration says.
+    running: Value,
     discovery: watch::Sender<SocketAddr>,
     figures: Rc<Figures>,
-) {
+    inputs: mpsc::Sender<Input>,
+}
+
+/// Takes over what a new configuration may change in a running sender: where discovery is, its classes and their
+/// attempts. The rest holds from the next start on. A file that cannot be read or is wrong anywhere changes nothing.
+async fn reload(mut to: Reload, mut hang_up: Signal) {
     while hang_up.recv().await.is_some() {
-        match Config::read(&path) {
-            Ok(config) => {
-                figures.applied.set(figures.applied.get() + 1);
-                let moved = discovery.send_if_modified(|addr| {
+        match Config::read_again(&to.path, &to.running) {
+            Ok((config, value)) => {
+                to.running = value;
+                let names = config.settings.names().classes;
+                let classes = names.into_iter().zip(config.settings.settings().classes).collect();
+                // Before discovery moves: a driver that has much to do must not be told of one without the other.
+                _ = to.inputs.send(Input::Retuned(classes)).await;
+                let moved = to.discovery.send_if_modified(|addr| {
                     let before = std::mem::replace(addr, config.discovery);
                     before != *addr
                 });
+                to.figures.applied.set(to.figures.applied.get() + 1);
                 let word = if moved { "now" } else { "still" };
                 eprintln!("configuration read again: discovery is {word} at {}", config.discovery);
             }
             Err(e) => {
-                figures.rejected.set(figures.rejected.get() + 1);
+                to.figures.rejected.set(to.figures.rejected.get() + 1);
                 eprintln!("configuration: {e}; the old one stays");
             }
         }
@@ -131,7 +157,7 @@
     let (mut terminate, hang_up) = (signal(SignalKind::terminate())?, signal(SignalKind::hangup())?);
     let var = |name: &str| std::env::var(name).map_err(|_| format!("{name} is not set"));
     let path = PathBuf::from(var("LB_CONFIG")?);
-    let config = Config::read(&path)?;
+    let (config, running) = Config::read_with_value(&path)?;
     let state = PathBuf::from(var("LB_STATE")?);
     let open_journal = || {
         journal::Journal::open(&state, (config.limits.disk_mb * 1e6) as u64)
@@ -185,7 +211,8 @@
     let follow = follow_discovery.clone();
     tokio::task::spawn_local(discovery::follow(follow, index, asking, fleet.clone(), inputs.clone()));
     tokio::task::spawn_local(notices::send(follow_discovery, queue, inputs.clone()));
-    tokio::task::spawn_local(reload(path, hang_up, discovery, figures.clone()));
+    let to = Reload { path, running, discovery, figures: figures.clone(), inputs: inputs.clone() };
+    tokio::task::spawn_local(reload(to, hang_up));
     let (told, stop) = (standings.clone(), inputs.clone());
     tokio::task::spawn_local(async move {
         terminate.recv().await;
--- a/crates/sender/src/driver.rs
+++ b/crates/sender/src/driver.rs
@@ -8,6 +8,7 @@
 use crate::handover::{Link, Lock};
 use crate::input::{Ended, Fate, Input, Notice};
 use crate::journal::{Accepted, Journal};
+use crate::rows::Rows;
 use crate::standing::{Change, Phase, Standings};
 use embershore_handover::{Frame, Owner, OwnerDo, OwnerEvent, State};
 use embershore_protocol::listing::Listing;
@@ -44,6 +45,8 @@
 struct Live {
     attempts: u32,
     call: Option<u64>,
+    /// The rules under which it was taken on.
+    row: usize,
 }
 
 /// A client that waits to hear whether its message is taken on.
@@ -92,10 +95,8 @@
     dispatcher: Dispatcher,
     names: Names,
     kinds: Vec<KindSettings>,
-    /// For each class whose repeats are dropped for a while: how long.
-    windows: HashMap<String, Micros>,
-    /// For each class: the longest time that a message may have.
-    deadlines: Vec<Micros>,
+    /// The classes' rules; a row is a class's index in the module.
+    rows: Rows,
     quantum: Micros,
     list_wait: Duration,
     max_open: usize,
@@ -135,15 +136,11 @@
         figures.name_classes(&names.classes);
         let (kinds, quantum, max_open) =
             (settings.kinds.clone(), settings.quantum, settings.max_open as usize);
-        let guarded = settings.classes.iter().zip(&names.classes);
-        let guarded = guarded.filter(|(c, _)| c.effect == Effect::Guarded);
-        let windows = guarded.map(|(c, name)| (name.clone(), c.window)).collect();
+        let rows = Rows::new(names.classes.iter().cloned().zip(settings.classes.iter().cloned()));
         let come_again_ms = (settings.max_retry_after / 2000).max(0) as u64;
-        let deadlines = settings.classes.iter().map(|c| c.deadline).collect();
         Ok(Driver {
             clock,
-            deadlines,
-            windows,
+            rows,
             dispatcher: Dispatcher::new(clock.now(), seed, settings)?,
             names,
             kinds,
@@ -263,6 +260,7 @@
     /// Hands the dispatcher what an earlier run left in the journal, or what a process has that this one replaces.
     fn restore(&mut self) {
         let handed = self.handed.take();
+        let mut restored = Vec::new();
         let mut out = Vec::new();
         let (mut attempts, mut in_call) = (HashMap::new(), HashMap::new());
         if let Some((state, link)) = handed {
@@ -304,9 +302,12 @@
             }
             // An endpoint that is listed no more has no number; any that no one has will do.
             let number = |name: &str| fleet.number(name).unwrap_or(EndpointId(u32::MAX));
-            self.events.push(Event::Restored {
+            // Under the rules by which it was taken on, whatever the configuration says by now.
+            let rules = journal.rules(entry);
+            let row = self.rows.of(&message.class, rules.as_ref(), now).unwrap_or(usize::MAX);
+            restored.push(Event::Restored {
                 id: MsgId(id),
-                class: index(&self.names.classes, &message.class),
+                class: row,
                 key: Some(message.order_key.clone()),
                 dest: DestId(message.dest),
                 time_left: message.deadline - now,
@@ -320,9 +321,13 @@
             });
             self.by_request.insert(request_id, MsgId(id));
             let attempts = attempts.get(&MsgId(id)).copied().unwrap_or(progress.attempts);
-            self.live.insert(MsgId(id), Live { attempts, call: in_call.get(&MsgId(id)).copied() });
+            self.rows.enter(row);
+            self.live.insert(MsgId(id), Live { attempts, call: in_call.get(&MsgId(id)).copied(), row });
         }
         drop(journal);
+        self.figures.name_classes(self.rows.names());
+        self.events.push(Event::Classes(self.rows.classes()));
+        self.events.append(&mut restored);
         if !out.is_empty() {
             self.events.push(Event::Out(out));
         }
@@ -511,6 +516,11 @@
                 self.unconfirmed = self.unconfirmed.saturating_sub(ids.len());
                 self.note(|j| j.noticed(ids));
             }
+            Input::Retuned(classes) => {
+                self.figures.name_classes(classes.iter().map(|(name, _)| name));
+                self.rows.retune(classes, self.clock.now());
+                self.events.push(Event::Classes(self.rows.classes()));
+            }
             Input::Former(frame) => self.hear(frame),
             Input::FormerGone => self.former_gone(),
             Input::Stop => {
@@ -551,12 +561,14 @@
             _ = reply.send(Reply::Busy { after_ms: self.come_again_ms });
             return;
         }
-        let class = index(&self.names.classes, &put.class);
-        if let Some(why) = self.wrong(class, &put) {
-            self.figures.count(&put.class, Ending::Wrong);
-            _ = reply.send(Reply::Wrong(why.into()));
-            return;
-        }
+        let class = match self.row_for(&put) {
+            Ok(row) => row,
+            Err(why) => {
+                self.figures.count(&put.class, Ending::Wrong);
+                _ = reply.send(Reply::Wrong(why.into()));
+                return;
+            }
+        };
         let id = MsgId(self.journal.borrow_mut().number());
         self.events.push(Event::Message {
             id,
@@ -568,25 +580,27 @@
             again: put.again,
         });
         self.by_request.insert(put.request_id.clone(), id);
-        self.live.insert(id, Live::default());
+        self.rows.enter(class);
+        self.live.insert(id, Live { row: class, ..Live::default() });
         self.newcomers.insert(id, Newcomer { put, reply });
     }
 
-    /// Why no sender could take this message on, if so.
-    fn wrong(&self, class: usize, put: &Put) -> Option<&'static str> {
-        let Some(longest) = self.deadlines.get(class) else { return Some("unknown class") };
+    /// The rules for this message, or why no sender could take it on.
+    fn row_for(&self, put: &Put) -> Result<usize, &'static str> {
+        let row = self.rows.newest(&put.class, self.clock.now()).ok_or("unknown class")?;
+        let class = self.rows.get(row).ok_or("unknown class")?;
         let tenants = &self.names.tenants;
         if !tenants.is_empty() && !tenants.contains(&put.tenant) {
-            Some("unknown tenant")
-        } else if put.time_left > longest + 1000 {
+            Err("unknown tenant")
+        } else if put.time_left > class.deadline + 1000 {
             // The time is told in whole milliseconds.
-            Some("field 'd' is more than the class's time")
+            Err("field 'd' is more than the class's time")
         } else if !self.fleet.borrow().knows(DestId(put.dest)) {
-            Some("unknown destination")
-        } else if self.windows.contains_key(&put.class) && put.idempotency_key.is_none() {
-            Some("field 'k' is missing in a keyed class")
+            Err("unknown destination")
+        } else if class.effect == Effect::Guarded && put.idempotency_key.is_none() {
+            Err("field 'k' is missing in a keyed class")
         } else {
-            None
+            Ok(row)
         }
     }
 
@@ -613,9 +627,18 @@
         }
     }
 
+    /// The message is held no more. False if it was not.
+    fn drop_live(&mut self, id: MsgId) -> bool {
+        let live = self.live.remove(&id);
+        if let Some(live) = &live {
+            self.rows.leave(live.row);
+        }
+        live.is_some()
+    }
+
     /// Nothing more is owed for the message.
     fn forget(&mut self, id: MsgId) {
-        self.live.remove(&id);
+        self.drop_live(id);
         if let Some(entry) = self.journal.borrow().get(id.0) {
             self.by_request.remove(&entry.accepted.request_id);
         }
@@ -660,7 +683,7 @@
                 let busy = matches!(answer, Reply::Busy { .. });
                 self.figures.count(&put.class, if busy { Ending::Refused } else { Ending::Wrong });
                 self.by_request.remove(&put.request_id);
-                self.live.remove(id);
+                self.drop_live(*id);
                 _ = reply.send(answer.clone());
                 continue;
             }
@@ -674,7 +697,9 @@
                 deadline: now + put.time_left,
                 body: put.body,
             };
-            let taken = self.journal.borrow_mut().accept(id.0, accepted);
+            let row = self.live.get(id).and_then(|live| self.rows.get(live.row));
+            let Some(rules) = row else { continue };
+            let taken = self.journal.borrow_mut().accept(id.0, accepted, rules);
             let answer = match taken {
                 Ok(()) => Reply::Taken,
                 Err(e) => {
@@ -688,7 +713,7 @@
                 self.figures.count(&class, Ending::Refused);
                 self.note(|j| j.ended(id.0, End::Over));
                 self.by_request.remove(&request_id);
-                self.live.remove(id);
+                self.drop_live(*id);
                 self.events.push(Event::Left { id: *id });
             }
         }
@@ -729,7 +754,7 @@
 
     /// The message is over but for the notice. A newcomer's client has heard it already.
     fn end(&mut self, id: MsgId, end: End) {
-        if self.live.remove(&id).is_none() {
+        if !self.drop_live(id) {
             return;
         }
         let journal = self.journal.borrow();
@@ -774,9 +799,9 @@
                 continue;
             };
             live.call = Some(call);
-            let window = self.windows.get(&entry.accepted.class);
-            if let (Some(window), Some((_, first))) = (window, entry.progress.unknown()) {
-                last_moment = last_moment.min(first + window);
+            let class = self.rows.get(live.row).filter(|c| c.effect == Effect::Guarded);
+            if let (Some(class), Some((_, first))) = (class, entry.progress.unknown()) {
+                last_moment = last_moment.min(first + class.window);
             }
             longest = longest.max(timeout);
             items.push(Item {
--- a/crates/sender/src/input.rs
+++ b/crates/sender/src/input.rs
@@ -3,7 +3,7 @@
 use embershore_handover::Frame;
 use embershore_protocol::notice::End;
 use embershore_protocol::resp::{Put, Reply};
-use heronroute::{EndpointEntry, EndpointId, Micros, Outcome, Report};
+use heronroute::{ClassSettings, EndpointEntry, EndpointId, Micros, Outcome, Report};
 use tokio::sync::oneshot;
 
 /// What can happen to a sender.
@@ -18,6 +18,8 @@
     Ended(u64, Ended),
     Probed(EndpointId, Outcome, Option<Report>),
     Noticed(Vec<u64>),
+    /// The classes of a configuration that has been read again.
+    Retuned(Vec<(String, ClassSettings)>),
     /// What the process that this one replaces has to say.
     Former(Frame),
     /// It has ended.
--- a/crates/sender/src/journal.rs
+++ b/crates/sender/src/journal.rs
@@ -6,9 +6,9 @@
 
 use bytes::Bytes;
 use embershore_protocol::notice::End;
-use heronroute::{Health, Micros};
+use heronroute::{ClassSettings, Effect, Group, Health, Micros};
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, Read, Write};
 use std::path::{Path, PathBuf};
@@ -21,6 +21,8 @@
 /// Part of the limit that new messages leave free for what becomes of the ones taken on.
 const RESERVE: f64 = 0.1;
 
+/// Bytes that a record of rules takes, at the most.
+const RULES_MOST: u64 = 96;
 /// Endpoints that are remembered as draining or gone.
 const BARRED_MOST: usize = 500;
 
@@ -36,6 +38,57 @@
     pub body: Bytes,
 }
 
+/// A class's rules under which messages were taken on, in a form that does not change with the module's types.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Rules {
+    aim: Micros,
+    deadline: Micros,
+    /// 0 free, 1 guarded, 2 single-shot.
+    effect: u8,
+    /// 0 all endpoints, 1 a zone's, 2 one.
+    group: u8,
+    window: Micros,
+    ordered: bool,
+    worth: f64,
+    late_share: f64,
+    attempts: Option<u32>,
+}
+
+impl From<&ClassSettings> for Rules {
+    fn from(class: &ClassSettings) -> Self {
+        let effect = match class.effect {
+            Effect::Free => 0,
+            Effect::Guarded => 1,
+            Effect::SingleShot => 2,
+        };
+        let group = match class.group {
+            Group::All => 0,
+            Group::Zone => 1,
+            Group::Endpoint => 2,
+        };
+        let ClassSettings { aim, deadline, window, ordered, worth, late_share, attempts, .. } = *class;
+        Rules { aim, deadline, effect, group, window, ordered, worth, late_share, attempts }
+    }
+}
+
+impl From<&Rules> for ClassSettings {
+    fn from(rules: &Rules) -> Self {
+        let Rules { aim, deadline, window, ordered, worth, late_share, attempts, .. } = *rules;
+        let effect = match rules.effect {
+            0 => Effect::Free,
+            1 => Effect::Guarded,
+            // What a later version may write is taken for what allows least.
+            _ => Effect::SingleShot,
+        };
+        let group = match rules.group {
+            0 => Group::All,
+            1 => Group::Zone,
+            _ => Group::Endpoint,
+        };
+        ClassSettings { aim, deadline, effect, group, window, ordered, worth, late_share, attempts }
+    }
+}
+
 /// An attempt: to which endpoint and when.
 pub type Try = (String, Micros);
 
@@ -74,12 +127,18 @@
     Noticed(Vec<u64>),
     Health(String, Option<Ailment>),
     Listed(String, Option<u64>),
+    /// Rules and their number, before the first message under them.
+    Rules(u32, Rules),
+    /// As `Message`, under the rules of that number.
+    Held(u32, u64, Accepted, Progress),
 }
 
 #[derive(Debug)]
 pub struct Entry {
     pub accepted: Accepted,
     pub progress: Progress,
+    /// The number of its rules; none in a journal from before there were any.
+    rules: Option<u32>,
     size: u64,
 }
 
@@ -94,6 +153,8 @@
     health: BTreeMap<String, Ailment>,
     /// Endpoints told to be draining or gone, with the version of the list that told it.
     barred: BTreeMap<String, u64>,
+    /// Rules by number. Those without messages go when the journal is compacted.
+    rules: BTreeMap<u32, Rules>,
     live: u64,
     next: u64,
     /// Another process writes to it.
@@ -132,8 +193,10 @@
         let mut bytes = Vec::new();
         file.read_to_end(&mut bytes)?;
         let (entries, health, barred) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
+        let rules = BTreeMap::new();
+        let (len, live, next, closed) = (0, 0, 1, false);
         let mut journal =
-            Journal { path, file, len: 0, limit, entries, health, barred, live: 0, next: 1, closed: false };
+            Journal { path, file, len, limit, entries, health, barred, rules, live, next, closed };
         let mut at = 0;
         while let Some((record, size)) = decode(&bytes[at..]) {
             at += size;
@@ -149,12 +212,11 @@
 
     fn apply(&mut self, record: Record, size: u64) {
         match record {
-            Record::Message(id, accepted, progress) => {
-                self.next = self.next.max(id + 1);
-                self.drop_entry(id);
-                self.live += size;
-                self.entries.insert(id, Entry { accepted, progress, size });
+            Record::Message(id, accepted, progress) => self.insert(id, accepted, progress, None, size),
+            Record::Held(rules, id, accepted, progress) => {
+                self.insert(id, accepted, progress, Some(rules), size);
             }
+            Record::Rules(number, rules) => _ = self.rules.insert(number, rules),
             Record::Started(ids, attempt) => {
                 for id in ids {
                     let Some(p) = self.entries.get_mut(&id).map(|e| &mut e.progress) else { continue };
@@ -185,6 +247,13 @@
         }
     }
 
+    fn insert(&mut self, id: u64, accepted: Accepted, progress: Progress, rules: Option<u32>, size: u64) {
+        self.next = self.next.max(id + 1);
+        self.drop_entry(id);
+        self.live += size;
+        self.entries.insert(id, Entry { accepted, progress, rules, size });
+    }
+
     fn drop_entry(&mut self, id: u64) {
         if let Some(e) = self.entries.remove(&id) {
             self.live = self.live.saturating_sub(e.size);
@@ -194,16 +263,21 @@
     /// What a compacted journal would take: tries and ailments are small, so a flat allowance will do.
     fn compacted(&self) -> u64 {
         let names = self.health.len() + self.barred.len();
-        self.live + 160 * self.entries.len() as u64 + 96 * names as u64
+        self.live + 160 * self.entries.len() as u64 + 96 * (names + self.rules.len()) as u64
     }
 
     /// Guards the disk limit: old and new file together stay under it, whenever the journal is compacted.
     fn append(&mut self, record: Record, reserve: u64) -> io::Result<()> {
+        let frame = encode(&record)?;
+        self.make_room(frame.len() as u64, reserve)?;
+        self.write(frame, record)
+    }
+
+    /// Compacts the journal where that is due or needed.
+    fn make_room(&mut self, size: u64, reserve: u64) -> io::Result<()> {
         if self.closed {
             return Err(io::Error::other("another process has the journal"));
         }
-        let frame = encode(&record)?;
-        let size = frame.len() as u64;
         let fits = |j: &Journal| j.len + j.compacted() + 2 * size + 2048 <= j.limit - reserve;
         if self.len > COMPACT_FROM.min(self.limit / 4) && self.len > 2 * self.compacted() || !fits(self) {
             self.compact()?;
@@ -211,6 +285,11 @@
         if !fits(self) {
             return Err(io::Error::new(io::ErrorKind::StorageFull, "the journal is full"));
         }
+        Ok(())
+    }
+
+    fn write(&mut self, frame: Vec<u8>, record: Record) -> io::Result<()> {
+        let size = frame.len() as u64;
         if let Err(e) = self.file.write_all(&frame) {
             // A record written in part would hide all that follow it.
             self.file.set_len(self.len)?;
@@ -228,8 +307,16 @@
         }
         let path = self.path.with_extension("new");
         let mut bytes = Vec::with_capacity(self.compacted() as usize);
+        let used: BTreeSet<u32> = self.entries.values().filter_map(|e| e.rules).collect();
+        for (number, rules) in self.rules.iter().filter(|(number, _)| used.contains(number)) {
+            bytes.extend_from_slice(&encode(&Record::Rules(*number, rules.clone()))?);
+        }
         for (id, e) in &self.entries {
-            let frame = encode(&Record::Message(*id, e.accepted.clone(), e.progress.clone()))?;
+            let (accepted, progress) = (e.accepted.clone(), e.progress.clone());
+            let frame = encode(&match e.rules {
+                Some(rules) => Record::Held(rules, *id, accepted, progress),
+                None => Record::Message(*id, accepted, progress),
+            })?;
             bytes.extend_from_slice(&frame);
         }
         for (name, ailment) in &self.health {
@@ -248,13 +335,30 @@
             return Err(e);
         }
         (self.file, self.len) = (file, bytes.len() as u64);
+        self.rules.retain(|number, _| used.contains(number));
         Ok(())
     }
 
-    /// Takes a message on and numbers it. On an error nothing has been taken on.
-    pub fn accept(&mut self, id: u64, accepted: Accepted) -> io::Result<()> {
+    /// Takes a message on under these rules. On an error nothing has been taken on.
+    pub fn accept(&mut self, id: u64, accepted: Accepted, class: &ClassSettings) -> io::Result<()> {
         let reserve = (self.limit as f64 * RESERVE) as u64;
-        self.append(Record::Message(id, accepted, Progress::default()), reserve)
+        let rules = Rules::from(class);
+        let known = self.rules.iter().find(|(_, r)| **r == rules).map(|(number, _)| *number);
+        let number = known.unwrap_or_else(|| self.rules.keys().next_back().map_or(0, |last| last + 1));
+        let message = Record::Held(number, id, accepted, Progress::default());
+        let frame = encode(&message)?;
+        // Room is made first: a compaction drops rules without messages.
+        self.make_room(frame.len() as u64 + RULES_MOST, reserve)?;
+        if !self.rules.contains_key(&number) {
+            let rules = Record::Rules(number, rules);
+            self.write(encode(&rules)?, rules)?;
+        }
+        self.write(frame, message)
+    }
+
+    /// The rules under which a message was taken on.
+    pub fn rules(&self, entry: &Entry) -> Option<ClassSettings> {
+        self.rules.get(&entry.rules?).map(ClassSettings::from)
     }
 
     /// A number that no message in the journal has, nor any that this process has been given.
--- a/crates/sender/src/lib.rs
+++ b/crates/sender/src/lib.rs
@@ -26,4 +26,6 @@
 mod mgmt;
 mod notices;
 mod rehearse;
+mod retune;
+mod rows;
 mod standing;
--- a/crates/sender/tests/reload.rs
+++ b/crates/sender/tests/reload.rs
@@ -74,3 +74,129 @@
     assert!(sender.is_running());
     assert_eq!(platform.paths().len(), 2, "one list and one watch: {:?}", platform.paths());
 }
+
+/// Alters a class of the configuration, or the list of them.
+fn retune(sender: &Sender, change: impl Fn(&mut Vec<serde_json::Value>)) {
+    sender.change(|c| change(c["settings"]["Profiles"].as_array_mut().unwrap()));
+    let before = sender.figures()["sighup_applied"].as_u64();
+    sender.hang_up();
+    wait_until("the file to be taken", || sender.figures()["sighup_applied"].as_u64() > before);
+}
+
+#[test]
+fn classes_come_with_their_own_rules_and_go_after_a_while() {
+    let endpoint = Endpoint::new(|r| if r.ids()[0].starts_with('f') { status(500) } else { status(200) });
+    let platform = Platform::new(vec![line("s-1", endpoint.addr, "one", 3, "Ready")]);
+    let sender = Sender::with_door(&platform);
+    let mut client = sender.client();
+    client.ping();
+    assert!(client.put("a0", "c=wire,d=1000,dest=3").starts_with("-ERR"));
+    retune(&sender, |classes| {
+        // One more, which may not be repeated, in the place of one that may.
+        let mut wire = classes[2].clone();
+        wire["Name"] = "wire".into();
+        classes[1] = wire;
+    });
+    assert_eq!(client.put("f1", "c=wire,d=1000,dest=3"), "+OK");
+    platform.wait_state("f1", "failed");
+    assert_eq!(endpoint.times("f1"), 1);
+    // Its clients have not heard that the other is gone.
+    assert_eq!(client.put("a1", SYNC), "+OK");
+    endpoint.wait_sent("a1");
+    let told = sender.figures();
+    assert_eq!((&told["aborted"]["wire"], &told["succeeded"]["sync"]), (&1.into(), &1.into()));
+    let mut late = String::new();
+    wait_until("the dropped class to be unknown", || {
+        late = sender.client().put("a2", SYNC);
+        late.starts_with("-ERR")
+    });
+    assert_eq!(late, "-ERR unknown class");
+    assert!(sender.figures()["succeeded"]["sync"].is_u64(), "its count stays");
+}
+
+#[test]
+fn open_messages_keep_the_rules_under_which_they_came_also_after_a_kill() {
+    // Each call breaks off: what may be repeated goes again, what may not fails.
+    let (safe, once) = (Endpoint::new(|_| Act::Break), Endpoint::new(|_| Act::Break));
+    let platform = Platform::new(vec![placeholder(3), placeholder(4)]);
+    let mut sender = Sender::with_door(&platform);
+    let mut client = sender.client();
+    client.ping();
+    assert_eq!(client.put("safe", SYNC), "+OK");
+    retune(&sender, |classes| _ = classes.remove(1));
+    retune(&sender, |classes| {
+        let mut sync = classes[1].clone();
+        sync["Name"] = "sync".into();
+        classes.push(sync);
+    });
+    assert_eq!(client.put("unsafe", "c=sync,d=15000,dest=4"), "+OK");
+    assert_eq!(sender.figures()["outstanding"], 2);
+    sender.kill();
+    let lines = vec![line("s-1", safe.addr, "one", 3, "Ready"), line("s-2", once.addr, "one", 4, "Ready")];
+    platform.tell(true, lines);
+    sender.spawn();
+    platform.wait_state("unsafe", "failed");
+    wait_until("the repeat of the one that is safe", || safe.times("safe") > 1);
+    assert_eq!(once.times("unsafe"), 1);
+}
+
+#[test]
+fn fewer_attempts_hold_for_messages_that_come_later() {
+    let endpoint = Endpoint::new(|_| status(503));
+    let platform = Platform::new(vec![placeholder(3)]);
+    let sender = Sender::with_door(&platform);
+    let mut client = sender.client();
+    client.ping();
+    assert_eq!(client.put("six", SYNC), "+OK");
+    sender.change(|c| c["settings"]["Limits"]["MaxAttempts"] = 2.into());
+    retune(&sender, |_| {});
+    assert_eq!(client.put("two", SYNC), "+OK");
+    platform.tell(false, vec![line("s-1", endpoint.addr, "one", 3, "Ready")]);
+    platform.wait_state("two", "returned");
+    platform.wait_state("six", "returned");
+    assert_eq!(endpoint.times("two"), 2);
+    assert!(endpoint.times("six") > 2, "{}", endpoint.times("six"));
+}
+
+#[test]
+fn nothing_is_taken_from_a_file_with_a_flaw() {
+    let endpoint = Endpoint::new(|_| status(200));
+    let platform = Platform::new(vec![line("s-1", endpoint.addr, "one", 3, "Ready")]);
+    let nowhere = Platform::new(vec![placeholder(9)]);
+    let sender = Sender::with_door(&platform);
+    let mut client = sender.client();
+    client.ping();
+    let path = sender.folder.path().join("config.json");
+    let good = std::fs::read_to_string(&path).unwrap();
+    // Twenty in all, each with another discovery and a class more, and with something wrong. Several may be in one.
+    let flaws: [fn(&mut serde_json::Value); 5] = [
+        |c| c["settings"]["Profiles"][0]["HardLimitUs"] = (-5).into(),
+        |c| c["settings"]["Limits"]["MaxAttempts"] = 0.into(),
+        |c| _ = c.as_object_mut().unwrap().remove("seed"),
+        |c| _ = c["settings"]["Profiles"][2].as_object_mut().unwrap().remove("Effect"),
+        |c| c["settings"]["Rules"] = serde_json::Value::Null,
+    ];
+    for n in 0..20 {
+        sender.change(|c| {
+            c["discovery"] = nowhere.addr.to_string().into();
+            let mut more = c["settings"]["Profiles"][1].clone();
+            more["Name"] = "more".into();
+            c["settings"]["Profiles"].as_array_mut().unwrap().push(more);
+            flaws[n % 5](c);
+        });
+        if n % 2 == 1 {
+            // Read while it is written.
+            let text = std::fs::read_to_string(&path).unwrap();
+            std::fs::write(&path, &text[..text.len() / 2]).unwrap();
+        }
+        let before = sender.figures()["sighup_rejected"].as_u64();
+        sender.hang_up();
+        wait_until("the file to be turned down", || sender.figures()["sighup_rejected"].as_u64() > before);
+        std::fs::write(&path, &good).unwrap();
+    }
+    assert!(client.put("a0", "c=more,d=1000,dest=3").starts_with("-ERR"));
+    assert_eq!(client.put("a1", SYNC), "+OK");
+    endpoint.wait_sent("a1");
+    assert!(nowhere.paths().is_empty(), "discovery has not moved");
+    assert_eq!(sender.figures()["sighup_applied"], 0);
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -74,6 +74,8 @@
     pub worth: f64,
     /// Share of the worth left at the deadline.
     pub late_share: f64,
+    /// Attempts for one message of it at most, if not those of [`Settings::max_attempts`].
+    pub attempts: Option<u32>,
 }
 
 impl Default for ClassSettings {
@@ -87,6 +89,7 @@
             ordered: false,
             worth: 1.0,
             late_share: 0.0,
+            attempts: None,
         }
     }
 }
@@ -401,6 +404,8 @@
         /// When.
         at: Micros,
     },
+    /// Other classes hold from now on. A message keeps its class's index, and with it whatever stands there.
+    Classes(Vec<ClassSettings>),
     /// An attempt ended.
     Outcome {
         /// The message.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -188,6 +188,7 @@
             }
             Event::Learnt(learnt) => self.learn(learnt),
             Event::Out(calls) => self.adopt(calls),
+            Event::Classes(classes) => self.set.classes = classes.clone(),
             Event::Recalled { endpoint, health } => self.recall(*endpoint, *health),
             Event::Stopping { at } => self.stop_at = Some(*at),
             Event::Outcome { id, attempt, outcome, last, elapsed, wait, report, .. } => {
@@ -651,7 +652,7 @@
     /// Whether a further attempt is allowed at all, now.
     fn may_retry(&self, id: MsgId) -> bool {
         let Some(msg) = self.msgs.get(&id) else { return false };
-        if msg.closed || msg.attempts >= self.set.max_attempts {
+        if msg.closed || msg.attempts >= self.class(msg).attempts.unwrap_or(self.set.max_attempts) {
             return false;
         }
         let class = self.class(msg);
@@ -670,7 +671,7 @@
             Effect::Guarded => self.now < first + (class.window as f64 * WINDOW_PART) as Micros,
             Effect::SingleShot => false,
         };
-        again && msg.attempts + 1 < self.set.max_attempts
+        again && msg.attempts + 1 < class.attempts.unwrap_or(self.set.max_attempts)
     }
 
     /// Whether a client may be told that handing it in again does no harm. What comes of it is a new
