A newcomer keeps discovery's word over the older list it was given; the kit replaces senders

At fault: Driver::wait_for_list took the list of the configuration over after discovery's. The test fails without it.

--- a/crates/rehearsal/src/event.rs
+++ b/crates/rehearsal/src/event.rs
@@ -51,6 +51,16 @@
     Sighup,
     /// A sender stands still for a while.
     Sigstop,
+    /// A sender's process is replaced by another that is started beside it.
+    Upgrade,
+    /// A sender is told to empty itself, and takes clients again after a while.
+    LameDuck,
+    /// A sender's configuration gains a class and halves the attempts, and is put back after a while.
+    Retune,
+    /// A sender's configuration is replaced by one with a flaw, of which nothing may hold.
+    RetuneWrong,
+    /// So many connections that say nothing, half a command, or ask once and stay.
+    Crowd,
 }
 
 impl Deed {
@@ -70,7 +80,9 @@
             Deed::DirectoryBack => (&[], &["sender"]),
             Deed::Sigterm | Deed::Sigkill => (&[], &["sender", "down"]),
             Deed::Sighup => (&[], &["sender"]),
-            Deed::Sigstop => (&["for"], &["sender"]),
+            Deed::Sigstop | Deed::LameDuck | Deed::Retune => (&["for"], &["sender"]),
+            Deed::Upgrade | Deed::RetuneWrong => (&[], &["sender"]),
+            Deed::Crowd => (&["for", "connections"], &["sender"]),
         }
     }
 }
@@ -115,8 +127,14 @@
     /// How long a sender stays away.
     #[serde(default)]
     pub down: Option<Span>,
+    /// How many connections.
+    #[serde(default)]
+    pub connections: Option<usize>,
 }
 
+/// Connections of a crowd at most, to each sender: they are this process's descriptors as well.
+const CROWD_MOST: usize = 10_000;
+
 /// Fields that are needed, and fields that may be given beside them.
 pub(crate) type Fields = (&'static [&'static str], &'static [&'static str]);
 
@@ -158,6 +176,7 @@
             ("gone_after", self.gone_after.is_some()),
             ("sender", self.sender.is_some()),
             ("down", self.down.is_some()),
+            ("connections", self.connections.is_some()),
         ];
         wrong.extend(misplaced(&given, self.deed.fields(), &format!("'{}'", self.deed)));
         if let Some(number) = self.receiver.filter(|n| !known.receivers.contains(n)) {
@@ -166,6 +185,9 @@
         if let Some(name) = self.sender.as_ref().filter(|n| !known.senders.contains(n)) {
             wrong.push(format!("there is no sender '{name}'; there are {}", known.senders.join(", ")));
         }
+        if self.connections.is_some_and(|n| !(1..=CROWD_MOST).contains(&n)) {
+            wrong.push(format!("'connections' is from 1 to {CROWD_MOST}"));
+        }
         if self.endpoints == Some(0) {
             wrong.push("'endpoints' is 0; say how many, or leave it out for all".into());
         }
@@ -236,6 +258,11 @@
             Deed::Sigkill => "sigkill",
             Deed::Sighup => "sighup",
             Deed::Sigstop => "sigstop",
+            Deed::Upgrade => "upgrade",
+            Deed::LameDuck => "lame-duck",
+            Deed::Retune => "retune",
+            Deed::RetuneWrong => "retune-wrong",
+            Deed::Crowd => "crowd",
         };
         f.write_str(text)
     }
@@ -259,6 +286,9 @@
         if let Some(factor) = self.factor {
             write!(f, " x{factor}")?;
         }
+        if let Some(n) = self.connections {
+            write!(f, " of {n} connections")?;
+        }
         if let Some(by) = self.by {
             write!(f, " by {:.1} s", by.secs())?;
         }
--- a/crates/rehearsal/src/rig/clients.rs
+++ b/crates/rehearsal/src/rig/clients.rs
@@ -155,7 +155,7 @@
             format!("{}-{}", errand.origin, errand.again)
         };
         let facts = &self.world.scenario.facts;
-        let planned = errand.planned;
+        let planned = Planned { sender: self.senders.front(errand.planned.sender), ..errand.planned };
         let (class, tenant) = (&facts.classes[planned.class], &facts.tenants[planned.tenant]);
         let receiver = facts.receivers[planned.receiver].number;
         let now = self.world.now();
--- a/crates/rehearsal/src/rig/mod.rs
+++ b/crates/rehearsal/src/rig/mod.rs
@@ -4,7 +4,9 @@
 
 mod clients;
 mod control;
+mod crowd;
 mod directory;
+mod door;
 mod receivers;
 mod senders;
 
@@ -310,7 +312,15 @@
             Deed::DirectorySnapshots => self.directory.snapshots(&event, lasting).await,
             Deed::DirectoryDeaf => self.directory.deaf(&event, lasting).await,
             Deed::DirectoryBack => self.directory.back(&event),
-            Deed::Sigterm | Deed::Sigkill | Deed::Sighup | Deed::Sigstop => self.senders.signal(&event).await,
+            Deed::Sigterm
+            | Deed::Sigkill
+            | Deed::Sighup
+            | Deed::Sigstop
+            | Deed::Upgrade
+            | Deed::LameDuck
+            | Deed::Retune
+            | Deed::RetuneWrong
+            | Deed::Crowd => self.senders.signal(&event).await,
         }
     }
 }
--- a/crates/rehearsal/src/rig/senders.rs
+++ b/crates/rehearsal/src/rig/senders.rs
@@ -1,6 +1,8 @@
 //! The senders under rehearsal: real processes with the environment and configuration that the platform gives them.
 
+use super::crowd;
 use super::directory::Directory;
+use super::door;
 use super::{Options, RigError, Subject, World, folder_of};
 use crate::event::{Deed, RawEvent};
 use crate::facts::Effect;
@@ -9,9 +11,10 @@
 use nix::sys::signal as unix;
 use nix::unistd::Pid;
 use serde_json::{Value, json};
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::fs::File;
 use std::net::SocketAddr;
+use std::os::fd::AsRawFd;
 use std::path::PathBuf;
 use std::process::Stdio;
 use std::rc::Rc;
@@ -25,6 +28,10 @@
 const TERM_TIME: Duration = Duration::from_millis(3700);
 /// From the process's end to its next start.
 const AWAY: Micros = 600_000;
+/// How long a process that replaces another has to be ready.
+const UPGRADE_TIME: Duration = Duration::from_secs(6);
+/// From the answer to `PING` that a sender takes no clients until the front sends it none.
+const FRONT_LAG: Micros = 300_000;
 /// How long senders have to end after the rehearsal.
 const END_TIME: Duration = Duration::from_millis(4500);
 
@@ -35,6 +42,12 @@
     folder: PathBuf,
     /// Keeps the port for this sender over its restarts.
     _port: Option<TcpSocket>,
+    /// The clients' listening socket, where the rig holds it for all of this sender's processes.
+    held: Option<std::net::TcpListener>,
+    /// The operators' door of the process that was started last, and what keeps its port.
+    door: RefCell<Option<(SocketAddr, TcpSocket)>>,
+    /// Since when the front gives it no clients.
+    left_alone: Cell<Option<Micros>>,
     pid: Cell<Option<i32>>,
     /// Its end is the rehearsal's own doing.
     planned: Cell<bool>,
@@ -45,6 +58,8 @@
 pub struct Senders {
     world: Rc<World>,
     executable: Option<PathBuf>,
+    /// Each process has a door for operators.
+    doors: bool,
     all: Vec<Rc<Process>>,
 }
 
@@ -59,13 +74,27 @@
             Subject::Spawn(path) => Some(path.clone()),
             Subject::External(_) => None,
         };
+        let has = |deed: Deed| world.scenario.events.iter().any(|(_, e)| e.deed == deed);
+        let holds = has(Deed::Upgrade);
+        let doors = holds || has(Deed::LameDuck);
         let mut all = Vec::new();
         for (index, sender) in world.scenario.facts.senders.iter().enumerate() {
             let folder = folder_of(options, &sender.name);
             let io = |e| RigError::io(folder.display().to_string())(e);
             std::fs::create_dir_all(folder.join("state")).map_err(io)?;
+            let mut listener = None;
             let (addr, port) = match &options.subject {
-                Subject::Spawn(_) => reserve().map_err(RigError::io("a port for a sender"))?,
+                Subject::Spawn(_) if holds => {
+                    let held = std::net::TcpListener::bind("127.0.0.1:0");
+                    let held = held.map_err(RigError::io("a port for a sender"))?;
+                    let addr = held.local_addr().map_err(RigError::io("a port for a sender"))?;
+                    listener = Some(held);
+                    (addr, None)
+                }
+                Subject::Spawn(_) => {
+                    let (addr, port) = reserve().map_err(RigError::io("a port for a sender"))?;
+                    (addr, Some(port))
+                }
                 Subject::External(addrs) => match addrs.get(index) {
                     Some(addr) => (*addr, None),
                     None => return Err(io(std::io::Error::other("no address was given for this sender"))),
@@ -75,9 +104,22 @@
             std::fs::write(folder.join("config.json"), format!("{config:#}\n")).map_err(io)?;
             let (name, pid, planned) = (sender.name.clone(), Cell::new(None), Cell::new(false));
             let ended = Notify::new();
-            all.push(Rc::new(Process { index, name, addr, folder, _port: port, pid, planned, ended }));
+            let (door, left_alone) = (RefCell::default(), Cell::new(None));
+            all.push(Rc::new(Process {
+                index,
+                name,
+                addr,
+                folder,
+                _port: port,
+                held: listener,
+                door,
+                left_alone,
+                pid,
+                planned,
+                ended,
+            }));
         }
-        Ok(Rc::new(Senders { world, executable, all }))
+        Ok(Rc::new(Senders { world, executable, doors, all }))
     }
 
     /// Where clients reach a sender.
@@ -85,6 +127,14 @@
         self.all[sender].addr
     }
 
+    /// The sender to which the front sends a client of this one: another while this one is emptied.
+    pub fn front(&self, sender: usize) -> usize {
+        let now = self.world.now();
+        let open = |n: &usize| self.all[*n].left_alone.get().is_none_or(|since| now < since + FRONT_LAG);
+        let others = (0..self.all.len()).map(|n| (sender + n) % self.all.len());
+        others.into_iter().find(open).unwrap_or(sender)
+    }
+
     pub fn start_all(self: &Rc<Self>) -> Result<(), RigError> {
         self.all.iter().try_for_each(|p| self.start(p))
     }
@@ -101,6 +151,17 @@
             command.env_remove(name);
         }
         let io = RigError::io(format!("starting {}", executable.display()));
+        if self.doors {
+            let (addr, port) = reserve().map_err(RigError::io("a port for a door"))?;
+            command.env("LB_MGMT", addr.to_string());
+            *process.door.borrow_mut() = Some((addr, port));
+        }
+        // A copy that outlives exec, for as long as it takes to start the process.
+        let inherited = process.held.as_ref().map(nix::unistd::dup).transpose();
+        let inherited = inherited.map_err(|e| RigError::io("the clients' socket")(e.into()))?;
+        if let Some(fd) = &inherited {
+            command.env("LB_SOCKET_FD", fd.as_raw_fd().to_string());
+        }
         let mut child = command
             .env("LB_NAME", &process.name)
             .env("LB_LISTEN", process.addr.to_string())
@@ -112,7 +173,9 @@
             .kill_on_drop(true)
             .spawn()
             .map_err(io)?;
-        process.pid.set(child.id().and_then(|id| i32::try_from(id).ok()));
+        drop(inherited);
+        let pid = child.id().and_then(|id| i32::try_from(id).ok());
+        process.pid.set(pid);
         process.planned.set(false);
         let (world, process) = (self.world.clone(), process.clone());
         tokio::task::spawn_local(async move {
@@ -120,8 +183,14 @@
                 Ok(status) => status.to_string(),
                 Err(e) => e.to_string(),
             };
-            process.pid.set(None);
-            world.note(Event::Exited { sender: process.index, planned: process.planned.get(), how });
+            if process.pid.get() == pid {
+                process.pid.set(None);
+                world.note(Event::Exited { sender: process.index, planned: process.planned.get(), how });
+            } else {
+                world.note(Event::Mark {
+                    text: format!("{}: the process that was replaced has ended", process.name),
+                });
+            }
             process.ended.notify_waiters();
         });
         Ok(())
@@ -174,6 +243,36 @@
                 tokio::time::sleep(duration(event.span())).await;
                 self.send(process, Signal::Cont);
             }
+            Deed::Upgrade => self.upgrade(process).await,
+            Deed::LameDuck => {
+                let Some(addr) = process.door.borrow().as_ref().map(|(addr, _)| *addr) else { return };
+                self.call(process, addr, "POST /_lameduck/on").await;
+                process.left_alone.set(Some(self.world.now()));
+                tokio::time::sleep(duration(event.span())).await;
+                self.call(process, addr, "POST /_lameduck/off").await;
+                process.left_alone.set(None);
+            }
+            Deed::Retune => {
+                let path = process.folder.join("config.json");
+                let Ok(before) = std::fs::read(&path) else { return };
+                self.configure(process, &before, retuned);
+                tokio::time::sleep(duration(event.span())).await;
+                self.configure(process, &before, |_| {});
+            }
+            Deed::RetuneWrong => {
+                let path = process.folder.join("config.json");
+                let Ok(before) = std::fs::read(&path) else { return };
+                self.configure(process, &before, spoilt);
+                // The next start is to find the good one.
+                tokio::time::sleep(Duration::from_millis(200)).await;
+                if let Err(e) = std::fs::write(&path, before) {
+                    self.world.note(Event::Mark { text: format!("{}: {e}", path.display()) });
+                }
+            }
+            Deed::Crowd => {
+                let connections = event.connections.unwrap_or(1);
+                crowd::stand(process.addr, connections, duration(event.span())).await;
+            }
             Deed::Sigterm => {
                 let ended = process.ended.notified();
                 self.send(process, Signal::Term);
@@ -189,6 +288,61 @@
         }
     }
 
+    /// Starts another process beside the one that runs, and ends that one once the other is ready.
+    async fn upgrade(self: &Rc<Self>, process: &Rc<Process>) {
+        let Some(old) = process.pid.get() else { return };
+        let begun = self.world.now();
+        if let Err(e) = self.start(process) {
+            self.world.note(Event::Mark { text: e.to_string() });
+            return;
+        }
+        let Some(addr) = process.door.borrow().as_ref().map(|(addr, _)| *addr) else { return };
+        let ready = async {
+            while door::call(addr, "GET /_ready").await.ok() != Some(200) {
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+        };
+        let ready = tokio::time::timeout(UPGRADE_TIME, ready).await.is_ok();
+        let took = (self.world.now() - begun) / 1000;
+        let text = match ready {
+            true => format!("{}: the process in its place was ready after {took} ms", process.name),
+            false => format!("{}: the process in its place was not ready within {took} ms", process.name),
+        };
+        self.world.note(Event::Mark { text });
+        // Neither has to be there still: the old one may have left, which is as good.
+        _ = unix::kill(Pid::from_raw(old), unix::Signal::SIGTERM);
+        let gone = async {
+            while unix::kill(Pid::from_raw(old), None).is_ok() {
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+        };
+        if tokio::time::timeout(TERM_TIME, gone).await.is_err() {
+            _ = unix::kill(Pid::from_raw(old), unix::Signal::SIGKILL);
+        }
+    }
+
+    async fn call(&self, process: &Process, addr: SocketAddr, call: &str) {
+        let text = match door::call(addr, call).await {
+            Ok(200..300) => return,
+            Ok(status) => format!("{}: {call} was answered {status}", process.name),
+            Err(e) => format!("{}: {call}: {e}", process.name),
+        };
+        self.world.note(Event::Mark { text });
+    }
+
+    /// Writes the sender's configuration anew, as `change` makes it, and tells the sender.
+    fn configure(&self, process: &Process, before: &[u8], change: impl FnOnce(&mut Value)) {
+        let path = process.folder.join("config.json");
+        let written = serde_json::from_slice(before).map_err(std::io::Error::other).and_then(|mut config| {
+            change(&mut config);
+            std::fs::write(&path, format!("{config:#}\n"))
+        });
+        match written {
+            Ok(()) => self.send(process, Signal::Hup),
+            Err(e) => _ = self.world.note(Event::Mark { text: format!("{}: {e}", path.display()) }),
+        }
+    }
+
     async fn kill(&self, process: &Process) {
         let ended = process.ended.notified();
         if process.pid.get().is_some() {
@@ -241,13 +395,34 @@
     }
 }
 
+/// A class more, and half the attempts.
+fn retuned(config: &mut Value) {
+    let attempts = &mut config["settings"]["Limits"]["MaxAttempts"];
+    *attempts = json!((attempts.as_i64().unwrap_or(2) / 2).max(1));
+    if let Some(classes) = config["settings"]["Profiles"].as_array_mut()
+        && let Some(mut more) = classes.first().cloned()
+    {
+        more["Name"] = json!("one-more");
+        classes.push(more);
+    }
+}
+
+/// Another directory and other names, and a deadline that makes no sense: with any of it nothing would go on.
+fn spoilt(config: &mut Value) {
+    config["discovery"] = json!("127.0.0.1:9");
+    for class in config["settings"]["Profiles"].as_array_mut().into_iter().flatten() {
+        class["Name"] = json!(format!("{}-x", class["Name"].as_str().unwrap_or_default()));
+        class["HardLimitUs"] = json!(-5);
+    }
+}
+
 /// A port on loopback that no one else is given. Bound but not listening, so that the sender can listen there
 /// again and again.
-fn reserve() -> std::io::Result<(SocketAddr, Option<TcpSocket>)> {
+fn reserve() -> std::io::Result<(SocketAddr, TcpSocket)> {
     let socket = TcpSocket::new_v4()?;
     socket.set_reuseaddr(true)?;
     socket.bind(SocketAddr::from(([127, 0, 0, 1], 0)))?;
-    Ok((socket.local_addr()?, Some(socket)))
+    Ok((socket.local_addr()?, socket))
 }
 
 async fn ping(addr: SocketAddr) -> std::io::Result<()> {
--- a/crates/rehearsal/src/shipped.rs
+++ b/crates/rehearsal/src/shipped.rs
@@ -32,6 +32,8 @@
     "return-many",
     "deploy-all",
     "wide-load",
+    "operators-day",
+    "replacements",
 ];
 
 /// The one with this name.
--- a/crates/sender/src/daemon.rs
+++ b/crates/sender/src/daemon.rs
@@ -2,7 +2,7 @@
 
 use crate::asking::Asking;
 use crate::clock::Clock;
-use crate::driver::{Driver, Handing, Parts};
+use crate::driver::{Driver, Handing, Known, Parts};
 use crate::figures::Figures;
 use crate::input::Input;
 use crate::standing::{Change, Standings};
@@ -208,6 +208,15 @@
             TcpListener::bind(addr).await.map_err(|e| format!("operators' door on {addr}: {e}"))?;
         tokio::task::spawn_local(mgmt::serve(listener, door));
     }
+    // A newcomer hears discovery long before it has the journal. What it is told must not be overwritten later by the
+    // older list that it was given.
+    let known = Known::given(config.known);
+    let taken = match &known {
+        Known::Listed(list) if inherited.is_some() => {
+            Some(fleet.borrow_mut().apply(&Listing { snapshot: true, ..list.clone() }))
+        }
+        _ => None,
+    };
     let follow = follow_discovery.clone();
     tokio::task::spawn_local(discovery::follow(follow, index, asking, fleet.clone(), inputs.clone()));
     tokio::task::spawn_local(notices::send(follow_discovery, queue, inputs.clone()));
@@ -256,7 +265,12 @@
     })?;
     let bounds = config.limits.clients();
     tokio::task::spawn_local(clients::serve(listener, bounds, inputs, standings.follow(), shared));
-    driver.run(inbox, config.known).await;
+    // With no word of discovery's yet the list is taken over once more, less what the journal knows to drain.
+    let known = match taken {
+        Some(entries) if !inbox.is_empty() => Known::Taken(entries),
+        _ => known,
+    };
+    driver.run(inbox, known).await;
     // Answers that the last round has decided are written still: a client that gets none has lost its message.
     tokio::time::sleep(LAST_WRITES).await;
     Ok(())
--- a/crates/sender/src/driver.rs
+++ b/crates/sender/src/driver.rs
@@ -21,7 +21,7 @@
 };
 use std::cell::RefCell;
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
@@ -55,6 +55,23 @@
     reply: oneshot::Sender<Reply>,
 }
 
+/// The list that was given with the configuration.
+pub enum Known {
+    /// There is none.
+    Nothing,
+    /// As it was given.
+    Listed(Listing),
+    /// The fleet has taken it over, and discovery's word after it: it must not be taken over again.
+    Taken(Vec<EndpointEntry>),
+}
+
+impl Known {
+    /// What the configuration gave.
+    pub fn given(list: Option<Listing>) -> Self {
+        list.filter(|l| !l.endpoints.is_empty()).map_or(Known::Nothing, Known::Listed)
+    }
+}
+
 /// The parts that a driver is made of.
 pub struct Parts {
     pub clock: Clock,
@@ -173,7 +190,7 @@
     }
 
     /// Runs until the sender has been told to stop and has done so.
-    pub async fn run(mut self, mut inbox: mpsc::Receiver<Input>, known: Option<Listing>) {
+    pub async fn run(mut self, mut inbox: mpsc::Receiver<Input>, known: Known) {
         let Some(early) = self.wait_for_list(&mut inbox, known).await else { return };
         self.restore();
         early.into_iter().for_each(|input| self.take(input));
@@ -223,15 +240,12 @@
     /// The list must be known before anything is sent. Discovery's own word is waited for, since the list
     /// given at the start may be old; without it, that list must do. What comes in meanwhile is given back:
     /// what an earlier run left goes first.
-    async fn wait_for_list(
-        &mut self,
-        inbox: &mut mpsc::Receiver<Input>,
-        known: Option<Listing>,
-    ) -> Option<Vec<Input>> {
+    async fn wait_for_list(&mut self, inbox: &mut mpsc::Receiver<Input>, known: Known) -> Option<Vec<Input>> {
         let deadline = tokio::time::Instant::now() + self.list_wait;
-        let known = known.filter(|l| !l.endpoints.is_empty());
-        let listed = known.is_some();
-        if let Some(mut list) = known {
+        let listed = !matches!(known, Known::Nothing);
+        if let Known::Taken(entries) = known {
+            self.events.push(Event::Members { whole: true, entries });
+        } else if let Known::Listed(mut list) = known {
             let (journal, index) = (self.journal.borrow(), list.index);
             for line in list.endpoints.iter_mut().filter(|l| journal.barred_since(&l.name, index)) {
                 line.status = "Terminating".into();
@@ -273,9 +287,13 @@
             let names: HashMap<EndpointId, String> = names.into_iter().collect();
             let fleet = self.fleet.borrow();
             // One that is listed no more, but has calls out, bears a number that no listed one will.
+            let abroad: BTreeSet<EndpointId> = calls.iter().map(OutCall::endpoint).collect();
             let number = |id: EndpointId| {
                 let known = names.get(&id).and_then(|name| fleet.number(name));
-                Some(known.unwrap_or(EndpointId(u32::MAX - id.0)))
+                known.or_else(|| {
+                    let at = abroad.iter().position(|other| *other == id)?;
+                    Some(EndpointId(u32::MAX - 1 - u32::try_from(at).ok()?))
+                })
             };
             learnt.renumber(number);
             out = calls;
--- a/crates/sender/tests/handover.rs
+++ b/crates/sender/tests/handover.rs
@@ -268,6 +268,32 @@
     }
 }
 
+#[test]
+fn the_next_process_goes_by_discoverys_word_and_not_by_an_older_list() {
+    let (old, new) = (Endpoint::new(|_| status(200)), Endpoint::new(|_| status(200)));
+    let first = line("s-1", old.addr, "one", 3, "Ready");
+    let platform = Platform::new(vec![first.clone()]);
+    let mut held = Held::new(&platform);
+    // The list that each process is given with its configuration is the one from before.
+    let path = held.folder.path().join("config.json");
+    let mut config: serde_json::Value = serde_json::from_slice(&std::fs::read(&path).unwrap()).unwrap();
+    config["known"] = serde_json::json!({"index": 7, "snapshot": true, "endpoints": [first]});
+    std::fs::write(&path, config.to_string()).unwrap();
+    held.start();
+    held.wait_ready(0);
+    platform
+        .tell(false, vec![line("s-2", new.addr, "one", 3, "Ready"), line("s-1", old.addr, "one", 3, "Gone")]);
+    for n in 1..4 {
+        held.start();
+        held.wait_ready(n);
+        let id = format!("a{n}");
+        wait_until("a client", || held.client().put(&id, PAY) == "+OK");
+        new.wait_sent(&id);
+    }
+    assert!(old.sent().is_empty());
+    assert!(platform.notices().is_empty());
+}
+
 #[test]
 fn replacements_one_after_another_and_two_newcomers_at_once() {
     let (endpoint, platform, mut held) = one(|_| status(200));
