Read over: one pass over health, one reading of a file, one choice of how to start

No behaviour changes. Tests and the rehearsal share what they had written again: a full backlog, a sender's configuration, a signal, rewriting a configuration.

--- a/crates/protocol/src/settings.rs
+++ b/crates/protocol/src/settings.rs
@@ -5,7 +5,7 @@
 };
 use serde::Deserialize;
 
-#[derive(Clone, Deserialize)]
+#[derive(Deserialize)]
 #[serde(rename_all = "PascalCase", default)]
 struct Profile {
     name: String,
@@ -36,7 +36,7 @@
     }
 }
 
-#[derive(Clone, Deserialize, Default)]
+#[derive(Deserialize, Default)]
 #[serde(rename_all = "PascalCase", default)]
 struct FamilyInfo {
     batch_by_kind: Vec<u32>,
@@ -46,7 +46,7 @@
     workers: Option<u32>,
 }
 
-#[derive(Clone, Deserialize, Default)]
+#[derive(Deserialize, Default)]
 #[serde(rename_all = "PascalCase", default)]
 struct Limits {
     cancel: bool,
@@ -61,14 +61,14 @@
     streams_per_conn: Option<u32>,
 }
 
-#[derive(Clone, Deserialize, Default)]
+#[derive(Deserialize, Default)]
 #[serde(rename_all = "PascalCase", default)]
 struct Prices {
     cross_zone: f64,
     handshake: f64,
 }
 
-#[derive(Clone, Deserialize, Default)]
+#[derive(Deserialize, Default)]
 #[serde(rename_all = "PascalCase", default)]
 struct Rules {
     drain_grace_us: Micros,
@@ -80,7 +80,7 @@
     order_settle_us: Micros,
 }
 
-#[derive(Clone, Deserialize, Default)]
+#[derive(Deserialize, Default)]
 #[serde(rename_all = "PascalCase", default)]
 struct Customer {
     name: String,
@@ -101,7 +101,7 @@
 }
 
 /// The settings as the wire gives them.
-#[derive(Clone, Deserialize, Default)]
+#[derive(Deserialize, Default)]
 #[serde(rename_all = "PascalCase", default)]
 pub struct ProfileData {
     azs: Vec<String>,
--- a/crates/rehearsal/src/rig/senders.rs
+++ b/crates/rehearsal/src/rig/senders.rs
@@ -54,6 +54,17 @@
     ended: Notify,
 }
 
+impl Process {
+    fn config(&self) -> PathBuf {
+        self.folder.join("config.json")
+    }
+
+    /// Where its door for operators is, if it has one.
+    fn door(&self) -> Option<SocketAddr> {
+        self.door.borrow().as_ref().map(|(addr, _)| *addr)
+    }
+}
+
 /// All of them.
 pub struct Senders {
     world: Rc<World>,
@@ -131,8 +142,8 @@
     pub fn front(&self, sender: usize) -> usize {
         let now = self.world.now();
         let open = |n: &usize| self.all[*n].left_alone.get().is_none_or(|since| now < since + FRONT_LAG);
-        let others = (0..self.all.len()).map(|n| (sender + n) % self.all.len());
-        others.into_iter().find(open).unwrap_or(sender)
+        let mut others = (0..self.all.len()).map(|n| (sender + n) % self.all.len());
+        others.find(open).unwrap_or(sender)
     }
 
     pub fn start_all(self: &Rc<Self>) -> Result<(), RigError> {
@@ -166,7 +177,7 @@
             .env("LB_NAME", &process.name)
             .env("LB_LISTEN", process.addr.to_string())
             .env("LB_STATE", process.folder.join("state"))
-            .env("LB_CONFIG", process.folder.join("config.json"))
+            .env("LB_CONFIG", process.config())
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(log)
@@ -245,7 +256,7 @@
             }
             Deed::Upgrade => self.upgrade(process).await,
             Deed::LameDuck => {
-                let Some(addr) = process.door.borrow().as_ref().map(|(addr, _)| *addr) else { return };
+                let Some(addr) = process.door() else { return };
                 self.call(process, addr, "POST /_lameduck/on").await;
                 process.left_alone.set(Some(self.world.now()));
                 tokio::time::sleep(duration(event.span())).await;
@@ -253,21 +264,16 @@
                 process.left_alone.set(None);
             }
             Deed::Retune => {
-                let path = process.folder.join("config.json");
-                let Ok(before) = std::fs::read(&path) else { return };
-                self.configure(process, &before, retuned);
+                let Some(before) = self.configure(process, retuned) else { return };
                 tokio::time::sleep(duration(event.span())).await;
-                self.configure(process, &before, |_| {});
+                self.write_config(process, &before);
+                self.send(process, Signal::Hup);
             }
             Deed::RetuneWrong => {
-                let path = process.folder.join("config.json");
-                let Ok(before) = std::fs::read(&path) else { return };
-                self.configure(process, &before, spoilt);
+                let Some(before) = self.configure(process, spoilt) else { return };
                 // The next start is to find the good one.
                 tokio::time::sleep(Duration::from_millis(200)).await;
-                if let Err(e) = std::fs::write(&path, before) {
-                    self.world.note(Event::Mark { text: format!("{}: {e}", path.display()) });
-                }
+                self.write_config(process, &before);
             }
             Deed::Crowd => {
                 let connections = event.connections.unwrap_or(1);
@@ -296,7 +302,7 @@
             self.world.note(Event::Mark { text: e.to_string() });
             return;
         }
-        let Some(addr) = process.door.borrow().as_ref().map(|(addr, _)| *addr) else { return };
+        let Some(addr) = process.door() else { return };
         let ready = async {
             while door::call(addr, "GET /_ready").await.ok() != Some(200) {
                 tokio::time::sleep(Duration::from_millis(10)).await;
@@ -330,16 +336,20 @@
         self.world.note(Event::Mark { text });
     }
 
-    /// Writes the sender's configuration anew, as `change` makes it, and tells the sender.
-    fn configure(&self, process: &Process, before: &[u8], change: impl FnOnce(&mut Value)) {
-        let path = process.folder.join("config.json");
-        let written = serde_json::from_slice(before).map_err(std::io::Error::other).and_then(|mut config| {
-            change(&mut config);
-            std::fs::write(&path, format!("{config:#}\n"))
-        });
-        match written {
-            Ok(()) => self.send(process, Signal::Hup),
-            Err(e) => _ = self.world.note(Event::Mark { text: format!("{}: {e}", path.display()) }),
+    /// Writes the sender's configuration anew, as `change` makes it, and tells the sender; what it was before.
+    fn configure(&self, process: &Process, change: impl FnOnce(&mut Value)) -> Option<Vec<u8>> {
+        let before = std::fs::read(process.config()).ok()?;
+        let mut config = serde_json::from_slice(&before).ok()?;
+        change(&mut config);
+        self.write_config(process, format!("{config:#}\n").as_bytes());
+        self.send(process, Signal::Hup);
+        Some(before)
+    }
+
+    fn write_config(&self, process: &Process, text: &[u8]) {
+        let path = process.config();
+        if let Err(e) = std::fs::write(&path, text) {
+            self.world.note(Event::Mark { text: format!("{}: {e}", path.display()) });
         }
     }
 
--- a/crates/sender/src/daemon.rs
+++ b/crates/sender/src/daemon.rs
@@ -9,6 +9,7 @@
 use crate::{calls, clients, discovery, fleet, handover, inherited, journal, mgmt, notices, retune};
 use embershore_protocol::listing::Listing;
 use embershore_protocol::settings::ProfileData;
+use heronroute::ClassSettings;
 use serde::Deserialize;
 use serde_json::Value;
 use std::cell::RefCell;
@@ -93,14 +94,26 @@
         let both = serde_json::from_str(&text).and_then(|config| Ok((config, serde_json::from_str(&text)?)));
         both.map_err(|e| format!("{}: {e}", path.display()))
     }
+}
+
+/// What a sender takes over of a configuration that is read while it runs.
+struct Retuning {
+    discovery: SocketAddr,
+    classes: Vec<(String, ClassSettings)>,
+    /// All that the file says.
+    value: Value,
+}
 
-    /// The same, where it may be taken over by a sender that runs by `running`.
-    fn read_again(path: &Path, running: &Value) -> Result<(Self, Value), String> {
-        let (config, value) = Self::read_with_value(path)?;
+impl Retuning {
+    /// Reads it, where it may be taken over by a sender that runs by `running`.
+    fn read(path: &Path, running: &Value) -> Result<Self, String> {
+        let (config, value) = Config::read_with_value(path)?;
         let at = |e: &dyn std::fmt::Display| format!("{}: {e}", path.display());
         retune::check(running, &value).map_err(|e| at(&e))?;
-        config.settings.clone().settings().validate().map_err(|e| at(&e))?;
-        Ok((config, value))
+        let (names, settings) = (config.settings.names().classes, config.settings.settings());
+        settings.validate().map_err(|e| at(&e))?;
+        let classes = names.into_iter().zip(settings.classes).collect();
+        Ok(Retuning { discovery: config.discovery, classes, value })
     }
 }
 
@@ -118,20 +131,18 @@
 /// attempts. The rest holds from the next start on. A file that cannot be read or is wrong anywhere changes nothing.
 async fn reload(mut to: Reload, mut hang_up: Signal) {
     while hang_up.recv().await.is_some() {
-        match Config::read_again(&to.path, &to.running) {
-            Ok((config, value)) => {
+        match Retuning::read(&to.path, &to.running) {
+            Ok(Retuning { discovery, classes, value }) => {
                 to.running = value;
-                let names = config.settings.names().classes;
-                let classes = names.into_iter().zip(config.settings.settings().classes).collect();
                 // Before discovery moves: a driver that has much to do must not be told of one without the other.
                 _ = to.inputs.send(Input::Retuned(classes)).await;
                 let moved = to.discovery.send_if_modified(|addr| {
-                    let before = std::mem::replace(addr, config.discovery);
+                    let before = std::mem::replace(addr, discovery);
                     before != *addr
                 });
                 to.figures.applied.set(to.figures.applied.get() + 1);
                 let word = if moved { "now" } else { "still" };
-                eprintln!("configuration read again: discovery is {word} at {}", config.discovery);
+                eprintln!("configuration read again: discovery is {word} at {discovery}");
             }
             Err(e) => {
                 to.figures.rejected.set(to.figures.rejected.get() + 1);
@@ -151,6 +162,14 @@
     }
 }
 
+/// How this process comes to its journal and its clients' socket.
+enum Way {
+    /// Both are its own from the start.
+    Alone(journal::Journal, TcpListener),
+    /// The platform holds the socket; the journal may still be another process's.
+    Held(std::net::TcpListener),
+}
+
 async fn serve() -> Result<(), Box<dyn Error>> {
     let inherited = inherited::listener()?;
     // Before anything is awaited: by default either signal ends the process.
@@ -163,8 +182,14 @@
         journal::Journal::open(&state, (config.limits.disk_mb * 1e6) as u64)
             .map_err(|e| format!("journal in {}: {e}", state.display()))
     };
-    // Where processes replace each other it may still be another's.
-    let alone = if inherited.is_none() { Some(open_journal()?) } else { None };
+    let way = match inherited {
+        None => {
+            let journal = open_journal()?;
+            let listener = TcpListener::bind(config.listen).await;
+            Way::Alone(journal, listener.map_err(|e| format!("listen on {}: {e}", config.listen))?)
+        }
+        Some(socket) => Way::Held(socket),
+    };
 
     let names = config.settings.names();
     let connect_timeout = config.settings.connect_timeout().unwrap_or(CONNECT_TIMEOUT).max(1);
@@ -186,13 +211,6 @@
     let (notices, queue) = mpsc::unbounded_channel();
     let standings = Standings::new();
     let (discovery, follow_discovery) = watch::channel(config.discovery);
-    let listener = match inherited {
-        Some(_) => None,
-        None => {
-            let listener = TcpListener::bind(config.listen).await;
-            Some(listener.map_err(|e| format!("listen on {}: {e}", config.listen))?)
-        }
-    };
     // A version of nought means that there is no list yet, unless one was given with it.
     let index =
         config.known.as_ref().filter(|l| l.index > 0 || (ask_every.is_some() && !l.endpoints.is_empty()));
@@ -212,7 +230,7 @@
     // older list that it was given.
     let known = Known::given(config.known);
     let taken = match &known {
-        Known::Listed(list) if inherited.is_some() => {
+        Known::Listed(list) if matches!(way, Way::Held(_)) => {
             Some(fleet.borrow_mut().apply(&Listing { snapshot: true, ..list.clone() }))
         }
         _ => None,
@@ -228,9 +246,9 @@
         _ = told.change(Change::Stop);
         _ = stop.send(Input::Stop).await;
     });
-    let (journal, handing, listener) = match (alone, listener, inherited) {
-        (Some(journal), Some(listener), _) => (journal, None, listener),
-        (_, _, Some(inherited)) => {
+    let (journal, handing, listener) = match way {
+        Way::Alone(journal, listener) => (journal, None, listener),
+        Way::Held(socket) => {
             // All that needs no journal comes first: the shorter is the time in which no process serves.
             let begun = tokio::time::Instant::now();
             while inbox.is_empty() && begun.elapsed() < list_wait {
@@ -241,11 +259,10 @@
             let Some(handover::Taken { lock, former }) = taken else { return Ok(()) };
             let journal = open_journal()?;
             let (asked, newcomers) = mpsc::channel(1);
-            let socket = lock.listen().map_err(|e| format!("socket in {}: {e}", state.display()))?;
-            tokio::task::spawn_local(handover::await_newcomers(socket, asked));
-            (journal, Some(Handing { lock, former, newcomers }), TcpListener::from_std(inherited)?)
+            let door = lock.listen().map_err(|e| format!("socket in {}: {e}", state.display()))?;
+            tokio::task::spawn_local(handover::await_newcomers(door, asked));
+            (journal, Some(Handing { lock, former, newcomers }), TcpListener::from_std(socket)?)
         }
-        _ => return Err("there is no address to listen on".into()),
     };
     let driver = Driver::new(Parts {
         clock: Clock::start(),
--- a/crates/sender/src/driver.rs
+++ b/crates/sender/src/driver.rs
@@ -5,7 +5,7 @@
 use crate::clock::Clock;
 use crate::figures::{Ending, Figures};
 use crate::fleet::Fleet;
-use crate::handover::{Link, Lock};
+use crate::handover::{Carried, Link, Lock};
 use crate::input::{Ended, Fate, Input, Notice};
 use crate::journal::{Accepted, Journal};
 use crate::rows::Rows;
@@ -127,9 +127,7 @@
     standings: Standings,
     figures: Rc<Figures>,
     shared: Shared,
-    lock: Option<Lock>,
-    newcomer: Option<mpsc::Receiver<(Owner, Link)>>,
-    handed: Option<(Box<State>, Link)>,
+    handing: Option<Handing>,
     former: Option<Former>,
     events: Vec<Event>,
     newcomers: BTreeMap<MsgId, Newcomer>,
@@ -147,9 +145,6 @@
         let Parts { clock, seed, list_wait, settings, names, journal, fleet, calls, notices, inputs, .. } =
             parts;
         let Parts { standings, figures, shared, handing, .. } = parts;
-        let (lock, handed, newcomer) = handing
-            .map(|h| (h.lock, h.former, h.newcomers))
-            .map_or_else(Default::default, |(l, f, n)| (Some(l), f, Some(n)));
         figures.name_classes(&names.classes);
         let (kinds, quantum, max_open) =
             (settings.kinds.clone(), settings.quantum, settings.max_open as usize);
@@ -173,9 +168,7 @@
             standings,
             figures,
             shared,
-            lock,
-            newcomer,
-            handed,
+            handing,
             former: None,
             events: Vec::new(),
             newcomers: BTreeMap::new(),
@@ -198,7 +191,6 @@
         _ = self.standings.change(Change::Started);
         let mut last = self.clock.now();
         let mut retire = last;
-        let mut newcomers = self.newcomer.take();
         loop {
             let timer = self.timers.peek().map_or(Micros::MAX, |Reverse((at, _))| *at);
             let pending = if self.events.is_empty() { Micros::MAX } else { last };
@@ -217,7 +209,7 @@
                         continue;
                     }
                 }
-                Some((owner, link)) = next_of(&mut newcomers) => {
+                Some((owner, link)) = next_of(&mut self.handing) => {
                     if let Some(link) = self.hand_over(owner, link).await {
                         return self.retire(inbox, link).await;
                     }
@@ -273,7 +265,7 @@
 
     /// Hands the dispatcher what an earlier run left in the journal, or what a process has that this one replaces.
     fn restore(&mut self) {
-        let handed = self.handed.take();
+        let handed = self.handing.as_mut().and_then(|handing| handing.former.take());
         let mut restored = Vec::new();
         let mut out = Vec::new();
         let (mut attempts, mut in_call) = (HashMap::new(), HashMap::new());
@@ -325,24 +317,25 @@
             // Under the rules by which it was taken on, whatever the configuration says by now.
             let rules = journal.rules(entry);
             let row = self.rows.of(&message.class, rules.as_ref(), now).unwrap_or(usize::MAX);
+            let attempts = attempts.get(&MsgId(id)).copied().unwrap_or(progress.attempts);
+            let call = in_call.get(&MsgId(id)).copied();
             restored.push(Event::Restored {
                 id: MsgId(id),
                 class: row,
                 key: Some(message.order_key.clone()),
                 dest: DestId(message.dest),
                 time_left: message.deadline - now,
-                attempts: attempts.get(&MsgId(id)).copied().unwrap_or(progress.attempts),
+                attempts,
                 // What the process before this one has out may still end well.
-                may_have_run: match in_call.get(&MsgId(id)) {
+                may_have_run: match call {
                     Some(_) => progress.may_have_run.as_ref(),
                     None => progress.unknown(),
                 }
                 .map(|(name, at)| (number(name), *at)),
             });
             self.by_request.insert(request_id, MsgId(id));
-            let attempts = attempts.get(&MsgId(id)).copied().unwrap_or(progress.attempts);
             self.rows.enter(row);
-            self.live.insert(MsgId(id), Live { attempts, call: in_call.get(&MsgId(id)).copied(), row });
+            self.live.insert(MsgId(id), Live { attempts, call, row });
         }
         drop(journal);
         self.figures.name_classes(self.rows.names());
@@ -361,10 +354,8 @@
 
     /// Follows what the process before this one says, until it ends.
     fn listen_to(&self, link: Link, out: &[OutCall], in_call: &HashMap<MsgId, u64>) -> Former {
-        // Unbounded: it tells its clients' messages, which its places bound, and its calls, which its slots do.
-        let ((say, to_say), (heard, mut frames)) = (mpsc::unbounded_channel(), mpsc::unbounded_channel());
+        let Carried { say, mut frames, .. } = link.carry();
         let inputs = self.inputs.clone();
-        tokio::task::spawn_local(link.carry(to_say, heard));
         tokio::task::spawn_local(async move {
             while let Some(frame) = frames.recv().await {
                 _ = inputs.send(Input::Former(frame)).await;
@@ -422,9 +413,9 @@
             }
         }
         let state = Frame::State(Box::new(self.state()));
+        let lock = &self.handing.as_ref()?.lock;
         // Calls whose connections are still coming up can't begin from here on: none goes out unwritten.
         self.journal.borrow_mut().close(true);
-        let lock = self.lock.as_ref()?;
         let freed = lock.free();
         let mut then = owner.on(OwnerEvent::Gave);
         if freed.is_err() || link.say(&state).await.is_err() {
@@ -480,9 +471,7 @@
         _ = self.standings.change(Change::HandedOver);
         self.calls.close_all();
         self.figures.outstanding.set(0);
-        // Unbounded, as where it is read: places and slots bound what is told.
-        let ((say, to_say), (heard, mut frames)) = (mpsc::unbounded_channel(), mpsc::unbounded_channel());
-        let carrying = tokio::task::spawn_local(link.carry(to_say, heard));
+        let Carried { say, mut frames, carrying } = link.carry();
         let (mut asked, mut number, mut linked) = (HashMap::<u64, oneshot::Sender<Reply>>::new(), 0, true);
         loop {
             tokio::select! {
@@ -545,7 +534,6 @@
             Input::FormerGone => self.former_gone(),
             Input::Stop => {
                 let now = self.clock.now();
-                _ = self.standings.change(Change::Stop);
                 self.stopping.get_or_insert(now);
                 self.events.push(Event::Stopping { at: now + CALLS_END_AFTER });
             }
@@ -885,10 +873,13 @@
 
     fn keep_health(&mut self) {
         let fleet = self.fleet.borrow();
-        let name = |id| fleet.get(id).map(|e| e.name.clone());
-        let avoided = self.dispatcher.health().filter(|(id, h)| h.trouble && fleet.lists(*id));
-        self.figures.ejected.set(avoided.count());
-        let health = self.dispatcher.health().filter_map(|(id, h)| name(id).map(|n| (n, h))).collect();
+        let (mut health, mut avoided) = (BTreeMap::new(), 0);
+        for (id, h) in self.dispatcher.health() {
+            let Some(endpoint) = fleet.get(id) else { continue };
+            avoided += usize::from(h.trouble && endpoint.listed());
+            health.insert(endpoint.name.clone(), h);
+        }
+        self.figures.ejected.set(avoided);
         if let Err(e) = self.journal.borrow_mut().keep_health(&health) {
             eprintln!("journal: {e}");
         }
@@ -909,9 +900,9 @@
 }
 
 /// The next process that asks for the journal, where one can.
-async fn next_of(newcomers: &mut Option<mpsc::Receiver<(Owner, Link)>>) -> Option<(Owner, Link)> {
-    match newcomers {
-        Some(newcomers) => newcomers.recv().await,
+async fn next_of(handing: &mut Option<Handing>) -> Option<(Owner, Link)> {
+    match handing {
+        Some(handing) => handing.newcomers.recv().await,
         None => std::future::pending().await,
     }
 }
--- a/crates/sender/src/fleet.rs
+++ b/crates/sender/src/fleet.rs
@@ -28,6 +28,13 @@
     gone: Option<Instant>,
 }
 
+impl Endpoint {
+    /// It is in the list, whatever that says of it.
+    pub fn listed(&self) -> bool {
+        self.gone.is_none()
+    }
+}
+
 /// All endpoints by number. A name keeps its number when it is listed again.
 #[derive(Debug, Default)]
 pub struct Fleet {
@@ -54,12 +61,7 @@
 
     /// Endpoints in the list, whatever it says of them.
     pub fn listed(&self) -> usize {
-        self.endpoints.values().filter(|e| e.gone.is_none()).count()
-    }
-
-    /// Whether the endpoint is in the list.
-    pub fn lists(&self, id: EndpointId) -> bool {
-        self.endpoints.get(&id).is_some_and(|e| e.gone.is_none())
+        self.endpoints.values().filter(|e| e.listed()).count()
     }
 
     /// Whether the destination has an endpoint or had one not long ago.
@@ -74,7 +76,7 @@
             listing.endpoints.iter().map(|line| self.take(line, now)).collect();
         if listing.snapshot {
             let named: HashSet<EndpointId> = entries.iter().map(|e| e.endpoint).collect();
-            let present = self.endpoints.iter_mut().filter(|(_, e)| e.gone.is_none());
+            let present = self.endpoints.iter_mut().filter(|(_, e)| e.listed());
             entries.extend(present.filter(|(id, _)| !named.contains(id)).map(|(id, e)| {
                 (e.ready, e.gone) = (false, Some(now));
                 let (endpoint, dest, kind, zone) = (*id, e.dest, e.kind, e.zone);
--- a/crates/sender/src/handover.rs
+++ b/crates/sender/src/handover.rs
@@ -13,6 +13,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{UnixListener, UnixStream};
 use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
 
 /// A word of the other process that is waited for comes within this. The owner finishes what it has in hand and writes
 /// the state; the newcomer takes the lock.
@@ -87,6 +88,16 @@
     decoder: Decoder,
 }
 
+/// A link that is read and written in the background. Unbounded both ways: what is told are the messages of clients, which
+/// their places bound, and the ends of calls, which the slots do.
+pub struct Carried {
+    pub say: mpsc::UnboundedSender<Frame>,
+    /// What the other side says; ends with the link.
+    pub frames: mpsc::UnboundedReceiver<Frame>,
+    /// Ends once all is said, after `say` has been dropped.
+    pub carrying: JoinHandle<()>,
+}
+
 impl Link {
     fn new(stream: UnixStream) -> Self {
         Link { stream, decoder: Decoder::default() }
@@ -123,12 +134,13 @@
         }
     }
 
-    /// Reads and writes in turns, until either side ends: what comes goes to `heard`.
-    pub async fn carry(
-        mut self,
-        mut to_say: mpsc::UnboundedReceiver<Frame>,
-        heard: mpsc::UnboundedSender<Frame>,
-    ) {
+    /// Has frames go both ways by themselves, until either side ends.
+    pub fn carry(self) -> Carried {
+        let ((say, to_say), (heard, frames)) = (mpsc::unbounded_channel(), mpsc::unbounded_channel());
+        Carried { say, frames, carrying: tokio::task::spawn_local(self.run(to_say, heard)) }
+    }
+
+    async fn run(mut self, mut to_say: mpsc::UnboundedReceiver<Frame>, heard: mpsc::UnboundedSender<Frame>) {
         loop {
             tokio::select! {
                 biased;
--- a/crates/sender/tests/clients.rs
+++ b/crates/sender/tests/clients.rs
@@ -370,77 +370,81 @@
     assert!(platform.notices().is_empty());
 }
 
+/// An endpoint whose backlog is full: a connection to it comes up only once others are taken off.
+struct Crammed {
+    listener: TcpListener,
+    addr: std::net::SocketAddr,
+    fillers: Vec<std::net::TcpStream>,
+    taken: Vec<std::net::TcpStream>,
+    /// What came on the connections that were taken off.
+    calls: Vec<String>,
+}
+
+impl Crammed {
+    fn new() -> Self {
+        let listener = backlog_of_none();
+        let addr = listener.local_addr().unwrap();
+        let filler = |_| std::net::TcpStream::connect_timeout(&addr, Duration::from_millis(100)).ok();
+        let fillers = (0..8).filter_map(filler).collect();
+        listener.set_nonblocking(true).unwrap();
+        Crammed { listener, addr, fillers, taken: Vec::new(), calls: Vec::new() }
+    }
+
+    /// Takes a connection off, if one has come, and reads what there is.
+    fn serve(&mut self) {
+        if let Ok((stream, _)) = self.listener.accept() {
+            stream.set_nonblocking(true).unwrap();
+            self.taken.push(stream);
+        }
+        for stream in &mut self.taken {
+            let mut buf = [0; 2048];
+            if let Ok(n @ 1..) = stream.read(&mut buf) {
+                self.calls.push(String::from_utf8_lossy(&buf[..n]).into_owned());
+            }
+        }
+    }
+}
+
 #[test]
 fn a_drain_that_is_learnt_while_a_connection_comes_up_stops_the_call() {
-    // A full backlog: connections to it come up only once some are taken off.
-    let listener = backlog_of_none();
-    let addr = listener.local_addr().unwrap();
-    let fillers: Vec<_> = (0..8)
-        .filter_map(|_| std::net::TcpStream::connect_timeout(&addr, Duration::from_millis(100)).ok())
-        .collect();
+    let mut old = Crammed::new();
     let new = Endpoint::new(|_| status(200));
-    let platform = Platform::new(vec![line("s-1", addr, "one", 3, "Ready")]);
+    let platform = Platform::new(vec![line("s-1", old.addr, "one", 3, "Ready")]);
     let sender = Sender::start(&platform);
     let mut client = sender.client();
     assert_eq!(client.put("a1", PAY), "+OK");
     std::thread::sleep(Duration::from_millis(100));
     platform.tell(
         false,
-        vec![line("s-1", addr, "one", 3, "Terminating"), line("s-2", new.addr, "one", 3, "Ready")],
+        vec![line("s-1", old.addr, "one", 3, "Terminating"), line("s-2", new.addr, "one", 3, "Ready")],
     );
     std::thread::sleep(Duration::from_millis(100));
-    listener.set_nonblocking(true).unwrap();
-    let (start, mut calls) = (Instant::now(), Vec::new());
-    let mut taken = Vec::new();
+    let start = Instant::now();
     while start.elapsed() < Duration::from_secs(10) && new.times("a1") == 0 {
-        if let Ok((stream, _)) = listener.accept() {
-            stream.set_nonblocking(true).unwrap();
-            taken.push(stream);
-        }
-        for s in &mut taken {
-            let mut buf = [0; 512];
-            if let Ok(n @ 1..) = s.read(&mut buf) {
-                calls.push(String::from_utf8_lossy(&buf[..n]).into_owned());
-            }
-        }
+        old.serve();
         std::thread::sleep(Duration::from_millis(1));
     }
     assert_eq!(new.times("a1"), 1, "sent to the other endpoint instead");
-    assert_eq!(calls, Vec::<String>::new(), "{} fillers", fillers.len());
+    assert_eq!(old.calls, Vec::<String>::new(), "{} fillers", old.fillers.len());
 }
 
 #[test]
 fn a_message_that_ends_while_its_calls_connection_comes_up_is_left_out() {
     // Two share a call; one's time is up before the connection to the endpoint is.
-    let listener = backlog_of_none();
-    let addr = listener.local_addr().unwrap();
-    let fillers: Vec<_> = (0..8)
-        .filter_map(|_| std::net::TcpStream::connect_timeout(&addr, Duration::from_millis(100)).ok())
-        .collect();
+    let mut endpoint = Crammed::new();
     let platform = Platform::new(vec![placeholder(3)]);
     let sender = Sender::start(&platform);
     let mut client = sender.client();
     assert_eq!(client.put("short", "c=pay,d=600,dest=3"), "+OK");
     assert_eq!(client.put("long", "c=pay,d=15000,dest=3"), "+OK");
-    platform.tell(false, vec![line("s-1", addr, "many", 3, "Ready")]);
+    platform.tell(false, vec![line("s-1", endpoint.addr, "many", 3, "Ready")]);
     wait_until("the short one's end", || platform.state_of("short").is_some());
-    let mut calls = Vec::new();
-    listener.set_nonblocking(true).unwrap();
-    let mut taken = Vec::new();
     wait_until("the call", || {
-        if let Ok((stream, _)) = listener.accept() {
-            stream.set_nonblocking(true).unwrap();
-            taken.push(stream);
-        }
-        for s in &mut taken {
-            let mut buf = [0; 2048];
-            if let Ok(n @ 1..) = s.read(&mut buf) {
-                calls.push(String::from_utf8_lossy(&buf[..n]).into_owned());
-            }
-        }
-        calls.concat().contains("long")
+        endpoint.serve();
+        endpoint.calls.concat().contains("long")
     });
-    assert!(!calls.concat().contains("short"), "{} fillers, {calls:?}", fillers.len());
+    let (calls, fillers) = (&endpoint.calls, endpoint.fillers.len());
+    assert!(!calls.concat().contains("short"), "{fillers} fillers, {calls:?}");
 }
 
 fn backlog_of_none() -> TcpListener {
--- a/crates/sender/tests/common/mod.rs
+++ b/crates/sender/tests/common/mod.rs
@@ -366,6 +366,23 @@
     })
 }
 
+/// The configuration of a sender that listens there.
+pub fn config(addr: SocketAddr, platform: &Platform, sockets: usize) -> Value {
+    json!({
+        "name": "n0", "listen": addr.to_string(), "discovery": platform.addr.to_string(),
+        "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets, "disk_mb": 3},
+        "known": {"index": 0, "snapshot": true, "endpoints": []},
+        "settings": settings(),
+    })
+}
+
+/// Sends a process a signal, by its name as `kill` knows it.
+pub fn signal(child: &Child, name: &str) {
+    let pid = child.id().to_string();
+    assert!(Command::new("kill").args([name, &pid]).status().unwrap().success());
+}
+
 /// A sender's process and its lasting folder.
 pub struct Sender {
     pub addr: SocketAddr,
@@ -399,13 +416,7 @@
         let (addr, door) = (reserved(own), reserved(own));
         let folder = tempfile::tempdir().unwrap();
         std::fs::create_dir(folder.path().join("state")).unwrap();
-        let mut config = json!({
-            "name": "n0", "listen": addr.to_string(), "discovery": platform.addr.to_string(),
-            "seed": "8c1f30d27a5be964",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256, "disk_mb": 3},
-            "known": {"index": 0, "snapshot": true, "endpoints": []},
-            "settings": settings(),
-        });
+        let mut config = config(addr, platform, 256);
         change(&mut config);
         std::fs::write(folder.path().join("config.json"), config.to_string()).unwrap();
         let mut sender = Sender { addr, door, folder, child: None };
@@ -507,8 +518,7 @@
     }
 
     fn signal(&self, name: &str) {
-        let pid = self.child.as_ref().unwrap().id().to_string();
-        assert!(Command::new("kill").args([name, &pid]).status().unwrap().success());
+        signal(self.child.as_ref().unwrap(), name);
     }
 
     pub fn wait_exit(&mut self) -> ExitStatus {
--- a/crates/sender/tests/handover.rs
+++ b/crates/sender/tests/handover.rs
@@ -28,13 +28,7 @@
         let addr = listener.local_addr().unwrap();
         let folder = tempfile::tempdir().unwrap();
         std::fs::create_dir(folder.path().join("state")).unwrap();
-        let config = serde_json::json!({
-            "name": "n0", "listen": addr.to_string(), "discovery": platform.addr.to_string(),
-            "seed": "8c1f30d27a5be964",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024, "disk_mb": 3},
-            "known": {"index": 0, "snapshot": true, "endpoints": []},
-            "settings": settings(),
-        });
+        let config = config(addr, platform, 1024);
         std::fs::write(folder.path().join("config.json"), config.to_string()).unwrap();
         Held { listener, addr, folder, running: Vec::new() }
     }
@@ -70,8 +64,7 @@
     }
 
     fn signal(&self, n: usize, name: &str) {
-        let pid = self.running[n].0.id().to_string();
-        assert!(Command::new("kill").args([name, &pid]).status().unwrap().success());
+        signal(&self.running[n].0, name);
     }
 
     fn wait_exit(&mut self, n: usize) -> std::process::ExitStatus {
