Refusals leave a sender its filled calls: one with half of all traffic is not choked

Change: after a refusal the budget of a lane whose calls several share is no less than what filled calls take. They are the fewest that can carry that traffic, so that the part of others does not matter.

The test fails without it.

--- a/src/company.rs
+++ b/src/company.rs
@@ -17,7 +17,7 @@
 /// The same with no sign of scarcity but that this sender's part is above the least.
 const WIDEST_CALM: f64 = 0.7;
 /// Share of a call that a sender with much traffic fills.
-const FILL: f64 = 0.7;
+pub(crate) const FILL: f64 = 0.7;
 
 /// What a sender sees of a lane whose calls several messages may share.
 #[derive(Clone, Copy, Debug)]
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -5,7 +5,7 @@
 //! each endpoint's health with single trials, and a paced return. A *lane* has one limit and one pool: it is
 //! a destination, or one route of it where routes are apart.
 
-use crate::company::Signs;
+use crate::company::{FILL, Signs};
 use crate::interface::*;
 use crate::state::*;
 use crate::turns::Turn;
@@ -564,7 +564,10 @@
                     let top = lane.limit.unwrap_or(f64::INFINITY);
                     let own = self.dests.get(&lane.dest).map_or(0.0, |d| d.share.get(now));
                     let fair = top / self.set.senders as f64 * FAIR_LEAST;
-                    let least = (own * BUDGET_LEAST).min(fair).max(0.01);
+                    // Filled calls are the fewest that carry this sender's traffic, whatever part of all it is.
+                    let batch = self.set.kinds.get(e.kind).map_or(1, |k| k.batch.max(1)) as f64;
+                    let filled = if batch > 1.0 { own / (batch * FILL) } else { 0.0 };
+                    let least = (own * BUDGET_LEAST).min(fair).max(filled).max(0.01);
                     let from = lane.budget.min(top).min((lane.accepted.get(now) * slack).max(least));
                     lane.budget = (from * BUDGET_CUT).max(least);
                     lane.tokens = lane.tokens.min(0.0);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -237,3 +237,38 @@
         "one endpoint that refuses beside one that does not"
     );
 }
+
+/// A sender with twenty times an equal part of a limit, in calls of ten, whose every fifth call meets a full queue: it
+/// may still send what fills its calls, or refusals would feed on fuller calls and longer waits.
+#[test]
+fn refusals_leave_a_busy_sender_its_filled_calls() {
+    let mut w = World::new(
+        Settings { senders: 100, weights: Weights::Nominal, slots: 120, max_open: 400, ..settings() },
+        (1..=4).map(|n| EndpointEntry { weight: Some(60.0), ..entry(n, 1, 1) }).collect(),
+    );
+    let (mut calls, mut at, mut waits) = (0, -S, Vec::new());
+    for i in 0..40 * 13 {
+        w.round(&[message(i, FREE, 1)]);
+        for _ in 0..8 {
+            w.pass(10 * MS);
+            let mut ends = Vec::new();
+            for o in w.out.clone() {
+                // The messages of a call went out at the same time.
+                if o.sent != at && w.now - o.sent < 20 * MS {
+                    (calls, at) = (calls + 1, o.sent);
+                }
+                if o.sent == at && calls % 5 == 0 {
+                    ends.push(w.end(&o, Outcome::Busy, 0));
+                } else if w.now - o.sent >= 300 * MS {
+                    let came = o.id as Micros * 80 * MS;
+                    waits.push((came, w.now - came));
+                    ends.push(w.end(&o, Outcome::Done, 0));
+                }
+            }
+            w.round(&ends);
+        }
+    }
+    let late = waits.iter().filter(|(came, took)| *came > 20 * S && *took > 2 * S).count();
+    let all = waits.iter().filter(|(came, _)| *came > 20 * S).count();
+    assert!(all > 200 && late * 10 < all, "{late} of {all}");
+}
