--- a/crates/sender/tests/mgmt.rs
+++ b/crates/sender/tests/mgmt.rs
@@ -77,6 +77,34 @@
     drop(crowd);
 }
 
+#[test]
+#[ignore = "prints figures; run it by name with --ignored --nocapture"]
+fn longest_answers_of_the_door_under_a_crowd() {
+    let (_endpoint, _platform, sender) = one(|_| status(200));
+    let mut crowd = Vec::new();
+    for size in [0, 600, 1500] {
+        while crowd.len() < size {
+            let mut stream = TcpStream::connect(sender.addr).unwrap();
+            _ = stream.write_all(b"*5\r\n$7\r\nMSG.");
+            crowd.push(stream);
+        }
+        // Those that the sender lets go come again, as a crowd does.
+        let mut took: Vec<Duration> = (0..300)
+            .map(|n| {
+                if let Some(stream) = crowd.get_mut(n % size.max(1)) {
+                    *stream = TcpStream::connect(sender.addr).unwrap();
+                    _ = stream.write_all(b"*5\r\n$7\r\nMSG.");
+                }
+                let asked = Instant::now();
+                assert_eq!(sender.ask("GET /_ready").0, 200);
+                asked.elapsed()
+            })
+            .collect();
+        took.sort();
+        println!("{size:>5} in the crowd: median {:?}, longest {:?}", took[150], took[299]);
+    }
+}
+
 #[test]
 fn the_figures_are_what_clients_and_endpoints_have_counted() {
     let (endpoint, platform, mut sender) = one(|request| match request.ids()[0].as_bytes()[0] {
