The driver's start and its replacing have places of their own

Need: driver.rs (911 lines) is the room that each new part between senders wants to enter.

Change: the list and what an earlier run left are in driver/start.rs, the processes before and after this one in driver/replace.rs; the driver keeps the round and the module (586 lines). Lines are moved as they stood, but for visibility and imports; no behaviour is changed.

Measured: the sender's tests of handover, restart, reload, door, clients, outcomes and asking pass as before (81 tests).

--- a/crates/sender/src/driver.rs
+++ b/crates/sender/src/driver.rs
@@ -1,27 +1,33 @@
-//! The core: feeds the dispatcher with what happens, in rounds, and carries out what it decides.
+//! The core: feeds the dispatcher with what happens, in rounds, and carries out what it decides. How it starts is in
+//! `start`, how one process replaces another in `replace`.
+
+mod replace;
+mod start;
+
+pub use replace::Handing;
+pub use start::Known;
 
 use crate::calls::{Calls, Item, Lane, Order};
 use crate::clients::Shared;
 use crate::clock::Clock;
 use crate::figures::{Ending, Figures};
 use crate::fleet::Fleet;
-use crate::handover::{Carried, Link, Lock};
-use crate::input::{Ended, Fate, Input, Notice};
+use crate::input::{Ended, Input, Notice};
 use crate::journal::{Accepted, Journal};
 use crate::rows::Rows;
-use crate::standing::{Change, Phase, Standings};
-use embershore_handover::{Frame, Owner, OwnerDo, OwnerEvent, State};
-use embershore_protocol::listing::Listing;
+use crate::standing::{Change, Standings};
+use embershore_handover::Frame;
 use embershore_protocol::notice::End;
 use embershore_protocol::resp::{Put, Reply};
 use embershore_protocol::settings::Names;
 use heronroute::{
     Action, DestId, Dispatcher, Effect, EndpointEntry, EndpointId, Event, KindSettings, Micros, MsgId,
-    OutCall, Outcome, Settings, Status,
+    Outcome, Settings, Status,
 };
+use replace::{Former, next_of};
 use std::cell::RefCell;
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap};
+use std::collections::{BTreeMap, BinaryHeap, HashMap};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
@@ -33,13 +39,6 @@
 /// ... and the process this long, before it is killed.
 const EXIT_AFTER: Micros = 3_500_000;
 const RETIRE_EVERY: Micros = 500_000;
-/// Rounds in which a sender that hands over finishes what it has in hand: each may leave some events to the next.
-const LAST_ROUNDS: usize = 8;
-/// The next process is told of the last outcomes within this.
-const LAST_WORDS: Duration = Duration::from_millis(200);
-/// A sender that was replaced looks this often whether it has anything left.
-const LOOK_EVERY: Duration = Duration::from_millis(20);
-
 /// What a message needs while it is held, beside its journal entry.
 #[derive(Default)]
 struct Live {
@@ -55,23 +54,6 @@
     reply: oneshot::Sender<Reply>,
 }
 
-/// The list that was given with the configuration.
-pub enum Known {
-    /// There is none.
-    Nothing,
-    /// As it was given.
-    Listed(Listing),
-    /// The fleet has taken it over, and discovery's word after it: it must not be taken over again.
-    Taken(Vec<EndpointEntry>),
-}
-
-impl Known {
-    /// What the configuration gave.
-    pub fn given(list: Option<Listing>) -> Self {
-        list.filter(|l| !l.endpoints.is_empty()).map_or(Known::Nothing, Known::Listed)
-    }
-}
-
 /// The parts that a driver is made of.
 pub struct Parts {
     pub clock: Clock,
@@ -91,22 +73,6 @@
     pub handing: Option<Handing>,
 }
 
-/// Where processes of a sender replace each other.
-pub struct Handing {
-    pub lock: Lock,
-    /// The process before this one: what it has handed over, and the link to it.
-    pub former: Option<(Box<State>, Link)>,
-    /// Processes that ask for the journal.
-    pub newcomers: mpsc::Receiver<(Owner, Link)>,
-}
-
-/// The process before this one, while it lives.
-struct Former {
-    say: mpsc::UnboundedSender<Frame>,
-    /// Attempts that it has out, and in which of its calls.
-    out: BTreeMap<(MsgId, u32), u64>,
-}
-
 pub struct Driver {
     clock: Clock,
     dispatcher: Dispatcher,
@@ -229,289 +195,6 @@
         }
     }
 
-    /// The list must be known before anything is sent. Discovery's own word is waited for, since the list
-    /// given at the start may be old; without it, that list must do. What comes in meanwhile is given back:
-    /// what an earlier run left goes first.
-    async fn wait_for_list(&mut self, inbox: &mut mpsc::Receiver<Input>, known: Known) -> Option<Vec<Input>> {
-        let deadline = tokio::time::Instant::now() + self.list_wait;
-        let listed = !matches!(known, Known::Nothing);
-        if let Known::Taken(entries) = known {
-            self.events.push(Event::Members { whole: true, entries });
-        } else if let Known::Listed(mut list) = known {
-            let (journal, index) = (self.journal.borrow(), list.index);
-            for line in list.endpoints.iter_mut().filter(|l| journal.barred_since(&l.name, index)) {
-                line.status = "Terminating".into();
-            }
-            drop(journal);
-            let entries = self.fleet.borrow_mut().apply(&Listing { snapshot: true, ..list });
-            self.events.push(Event::Members { whole: true, entries });
-        }
-        let mut early = Vec::new();
-        loop {
-            let input = tokio::select! {
-                input = inbox.recv() => input,
-                _ = tokio::time::sleep_until(deadline), if listed => return Some(early),
-            };
-            match input? {
-                Input::Stop => return None,
-                Input::Members { index, whole, entries } => {
-                    self.members(index, whole, entries);
-                    return Some(early);
-                }
-                input => early.push(input),
-            }
-        }
-    }
-
-    /// Hands the dispatcher what an earlier run left in the journal, or what a process has that this one replaces.
-    fn restore(&mut self) {
-        let handed = self.handing.as_mut().and_then(|handing| handing.former.take());
-        let mut restored = Vec::new();
-        let mut out = Vec::new();
-        let (mut attempts, mut in_call) = (HashMap::new(), HashMap::new());
-        if let Some((state, link)) = handed {
-            let State { next_message, next_call, lame_duck, names, mut learnt, out: calls, .. } = *state;
-            self.journal.borrow_mut().number_from(next_message);
-            self.next_call = next_call;
-            if lame_duck {
-                _ = self.standings.change(Change::LameDuck(true));
-            }
-            let names: HashMap<EndpointId, String> = names.into_iter().collect();
-            let fleet = self.fleet.borrow();
-            // One that is listed no more, but has calls out, bears a number that no listed one will.
-            let abroad: BTreeSet<EndpointId> = calls.iter().map(OutCall::endpoint).collect();
-            let number = |id: EndpointId| {
-                let known = names.get(&id).and_then(|name| fleet.number(name));
-                known.or_else(|| {
-                    let at = abroad.iter().position(|other| *other == id)?;
-                    Some(EndpointId(u32::MAX - 1 - u32::try_from(at).ok()?))
-                })
-            };
-            learnt.renumber(number);
-            out = calls;
-            out.iter_mut().for_each(|call| call.renumber(number(call.endpoint()).unwrap_or_default()));
-            drop(fleet);
-            self.events.push(Event::Learnt(Box::new(learnt)));
-            attempts.extend(state.attempts);
-            in_call.extend(state.calls);
-            self.former = Some(self.listen_to(link, &out, &in_call));
-        }
-        let (journal, fleet, now) = (self.journal.borrow(), self.fleet.borrow(), self.clock.now());
-        for (name, health) in journal.health().filter(|_| self.former.is_none()) {
-            if let Some(endpoint) = fleet.number(name) {
-                self.events.push(Event::Recalled { endpoint, health });
-            }
-        }
-        for (id, entry) in journal.entries() {
-            let (message, progress) = (&entry.accepted, &entry.progress);
-            let request_id = message.request_id.clone();
-            if let Some(end) = progress.end {
-                self.unconfirmed += 1;
-                // The platform hears of it from this process, which counts from nought.
-                self.figures.count(&message.class, Ending::of(end));
-                _ = self.notices.send(Notice { id, request_id, end });
-                continue;
-            }
-            // An endpoint that is listed no more has no number; any that no one has will do.
-            let number = |name: &str| fleet.number(name).unwrap_or(EndpointId(u32::MAX));
-            // Under the rules by which it was taken on, whatever the configuration says by now.
-            let rules = journal.rules(entry);
-            let row = self.rows.of(&message.class, rules.as_ref(), now).unwrap_or(usize::MAX);
-            let attempts = attempts.get(&MsgId(id)).copied().unwrap_or(progress.attempts);
-            let call = in_call.get(&MsgId(id)).copied();
-            restored.push(Event::Restored {
-                id: MsgId(id),
-                class: row,
-                key: Some(message.order_key.clone()),
-                dest: DestId(message.dest),
-                time_left: message.deadline - now,
-                attempts,
-                // What the process before this one has out may still end well.
-                may_have_run: match call {
-                    Some(_) => progress.may_have_run.as_ref(),
-                    None => progress.unknown(),
-                }
-                .map(|(name, at)| (number(name), *at)),
-            });
-            self.by_request.insert(request_id, MsgId(id));
-            self.rows.enter(row);
-            self.live.insert(MsgId(id), Live { attempts, call, row });
-        }
-        drop(journal);
-        self.figures.name_classes(self.rows.names());
-        self.events.push(Event::Classes(self.rows.classes()));
-        self.events.append(&mut restored);
-        if !out.is_empty() {
-            self.events.push(Event::Out(out));
-        }
-        let (mut journal, live) = (self.journal.borrow_mut(), self.live.iter());
-        for (id, _) in live.filter(|(_, live)| live.call.is_none()) {
-            if let Err(e) = journal.settled(id.0, true) {
-                eprintln!("journal: {e}");
-            }
-        }
-    }
-
-    /// Follows what the process before this one says, until it ends.
-    fn listen_to(&self, link: Link, out: &[OutCall], in_call: &HashMap<MsgId, u64>) -> Former {
-        let Carried { say, mut frames, .. } = link.carry();
-        let inputs = self.inputs.clone();
-        tokio::task::spawn_local(async move {
-            while let Some(frame) = frames.recv().await {
-                _ = inputs.send(Input::Former(frame)).await;
-            }
-            _ = inputs.send(Input::FormerGone).await;
-        });
-        self.shared.by_two.set(true);
-        let attempts = out.iter().flat_map(OutCall::messages);
-        let out =
-            attempts.map(|(id, attempt)| ((id, attempt), in_call.get(&id).copied().unwrap_or(u64::MAX)));
-        Former { say, out: out.collect() }
-    }
-
-    /// What the process before this one says.
-    fn hear(&mut self, frame: Frame) {
-        let Some(former) = &mut self.former else { return };
-        match frame {
-            Frame::Put { number, put } => {
-                let (reply, answer) = oneshot::channel();
-                let say = former.say.clone();
-                tokio::task::spawn_local(async move {
-                    let reply = answer.await.unwrap_or(Reply::Busy { after_ms: 0 });
-                    _ = say.send(Frame::Reply { number, reply });
-                });
-                self.put(put, reply);
-            }
-            Frame::Ended { call, fates, elapsed, wait, report } => {
-                fates.iter().for_each(|f| _ = former.out.remove(&(f.id, f.attempt)));
-                self.ended(call, Ended { endpoint: EndpointId(u32::MAX), fates, elapsed, wait, report });
-            }
-            _ => {}
-        }
-    }
-
-    /// The process before this one has ended. What it had out may have run.
-    fn former_gone(&mut self) {
-        self.shared.by_two.set(false);
-        let Some(former) = self.former.take() else { return };
-        let lost = former.out.into_keys();
-        let fates = lost.map(|(id, attempt)| Fate { id, attempt, outcome: Outcome::Cancelled, over: false });
-        let fates: Vec<Fate> = fates.collect();
-        if !fates.is_empty() {
-            eprintln!("handover: the process before this one has ended with {} attempts out", fates.len());
-            let endpoint = EndpointId(u32::MAX);
-            self.ended(u64::MAX, Ended { endpoint, fates, elapsed: 0, wait: 0, report: None });
-        }
-    }
-
-    /// Gives the journal to a process that asks for it; the link to it once it has it. Otherwise this one serves on.
-    async fn hand_over(&mut self, mut owner: Owner, mut link: Link) -> Option<Link> {
-        for _ in 0..LAST_ROUNDS {
-            self.round();
-            if self.events.is_empty() {
-                break;
-            }
-        }
-        let state = Frame::State(Box::new(self.state()));
-        let lock = &self.handing.as_ref()?.lock;
-        // Calls whose connections are still coming up can't begin from here on: none goes out unwritten.
-        self.journal.borrow_mut().close(true);
-        let freed = lock.free();
-        let mut then = owner.on(OwnerEvent::Gave);
-        if freed.is_err() || link.say(&state).await.is_err() {
-            then = owner.on(OwnerEvent::Gone);
-        }
-        loop {
-            match then {
-                OwnerDo::Retire => return Some(link),
-                OwnerDo::ServeOn => {
-                    eprintln!("handover: the newcomer has not taken over; serving on");
-                    self.journal.borrow_mut().close(false);
-                    return None;
-                }
-                OwnerDo::Reclaim => {
-                    let mine = lock.take().unwrap_or(false);
-                    then = owner.on(OwnerEvent::Reclaimed(mine));
-                    if !mine {
-                        // Whoever has the lock writes the journal; once told to end there is nothing left to do.
-                        if self.standings.get().phase() == Phase::Stopping {
-                            return Some(link);
-                        }
-                        tokio::time::sleep(LOOK_EVERY).await;
-                    }
-                }
-                _ => {
-                    then = owner.on(link.hear_soon().await.event());
-                }
-            }
-        }
-    }
-
-    /// What the next process has to know beside the journal.
-    fn state(&self) -> State {
-        let (learnt, out) = self.dispatcher.hand_over();
-        let fleet = self.fleet.borrow();
-        let numbers = learnt.endpoints().chain(out.iter().map(OutCall::endpoint));
-        State {
-            next_message: self.journal.borrow().next_number(),
-            next_call: self.next_call,
-            lame_duck: self.standings.get().phase() == Phase::LameDuck,
-            attempts: self.live.iter().map(|(id, live)| (*id, live.attempts)).collect(),
-            names: numbers.filter_map(|id| Some((id, fleet.get(id)?.name.clone()))).collect(),
-            calls: self.live.iter().filter_map(|(id, live)| Some((*id, live.call?))).collect(),
-            learnt,
-            out,
-        }
-    }
-
-    /// After another process has taken over: passes on what still comes to this one, and ends with its last call and
-    /// its last client.
-    async fn retire(mut self, mut inbox: mpsc::Receiver<Input>, link: Link) {
-        _ = self.standings.change(Change::HandedOver);
-        self.calls.close_all();
-        self.figures.outstanding.set(0);
-        let Carried { say, mut frames, carrying } = link.carry();
-        let (mut asked, mut number, mut linked) = (HashMap::<u64, oneshot::Sender<Reply>>::new(), 0, true);
-        loop {
-            tokio::select! {
-                biased;
-                frame = frames.recv(), if linked => match frame {
-                    Some(Frame::Reply { number, reply }) => {
-                        _ = asked.remove(&number).map(|answer| answer.send(reply));
-                    }
-                    Some(Frame::Cancel { call }) => {
-                        _ = self.out.get_mut(&call).and_then(Option::take).map(|cancel| cancel.send(()));
-                    }
-                    Some(_) => {}
-                    // Dropping what waits tells its clients to come again.
-                    None => (linked, asked) = (false, HashMap::new()),
-                },
-                Some(input) = inbox.recv() => match input {
-                    Input::Put(put, answer) => {
-                        number += 1;
-                        if linked && say.send(Frame::Put { number, put }).is_ok() {
-                            asked.insert(number, answer);
-                        }
-                    }
-                    Input::Ended(call, Ended { fates, elapsed, wait, report, .. }) => {
-                        self.out.remove(&call);
-                        _ = say.send(Frame::Ended { call, fates, elapsed, wait, report });
-                    }
-                    Input::Stop => _ = self.stopping.get_or_insert(self.clock.now()),
-                    _ => {}
-                },
-                _ = tokio::time::sleep(LOOK_EVERY) => {}
-            }
-            let idle = self.out.is_empty() && self.shared.connections.get() == 0;
-            let late = self.stopping.is_some_and(|at| self.clock.now() - at >= EXIT_AFTER);
-            if idle || late {
-                break;
-            }
-        }
-        drop(say);
-        _ = tokio::time::timeout(LAST_WORDS, carrying).await;
-    }
-
     fn take(&mut self, input: Input) {
         match input {
             Input::Put(put, reply) => self.put(put, reply),
@@ -898,14 +581,6 @@
     }
 }
 
-/// The next process that asks for the journal, where one can.
-async fn next_of(handing: &mut Option<Handing>) -> Option<(Owner, Link)> {
-    match handing {
-        Some(handing) => handing.newcomers.recv().await,
-        None => std::future::pending().await,
-    }
-}
-
 fn index(names: &[String], name: &str) -> usize {
     names.iter().position(|n| n == name).unwrap_or(usize::MAX)
 }
