Section [fleet] of the options file: read, checked, and shown by embershore check

Need: the fleet's list, its failure domains and its times stand in the operator's file; a wrong one must be found before anything starts by it.

Change: the section in embershore-peer, part of the options file; `check` says what it amounts to and whether a majority outlives each domain. Findings of all sections come together in the order of the file; the placed finding is the finding package's now. The daemon does not use the section.

--- a/crates/finding/src/lib.rs
+++ b/crates/finding/src/lib.rs
@@ -5,6 +5,7 @@
 use serde::Serialize;
 use std::fmt;
 use std::io;
+use std::ops::Range;
 use std::path::Path;
 
 /// Something wrong in a file.
@@ -34,6 +35,23 @@
     }
 }
 
+/// Something wrong in a section that a subsystem checks, and where: it knows bytes of the text, not lines.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Placed {
+    /// Where, in bytes.
+    pub place: Range<usize>,
+    /// What is wrong, and the mend.
+    pub what: String,
+}
+
+impl Placed {
+    /// All that was found, with lines and columns, in the order of the text.
+    pub fn findings(text: &str, mut found: Vec<Placed>) -> Vec<Finding> {
+        found.sort_by_key(|f| f.place.start);
+        found.into_iter().map(|f| Finding::at(text, f.place.start, f.what)).collect()
+    }
+}
+
 /// Findings as lines `name:line:column: what`, with no line end after the last.
 pub struct Findings<'a> {
     /// The file's name.
--- a/crates/options/src/lib.rs
+++ b/crates/options/src/lib.rs
@@ -3,9 +3,10 @@
 //! A file is checked whole before any of it counts: unknown keys are errors, and each finding has its line and column.
 #![warn(missing_docs)]
 
-use embershore_finding::{Finding, Findings};
+use embershore_finding::{Finding, Findings, Placed};
 use embershore_owed::rules::Section;
 use embershore_owed::{ClassFacts, Rules};
+use embershore_peer::options::{FleetOptions, Section as FleetSection};
 use serde::Deserialize;
 use std::path::{Path, PathBuf};
 
@@ -16,6 +17,7 @@
 #[serde(deny_unknown_fields)]
 struct Root {
     owed: Option<Section>,
+    fleet: Option<FleetSection>,
 }
 
 /// What the operator has switched on.
@@ -23,6 +25,8 @@
 pub struct Options {
     /// What becomes of messages that could not be delivered; nothing of them is kept where there is none.
     pub owed: Option<Rules>,
+    /// The other senders; none is known where there is none.
+    pub fleet: Option<FleetOptions>,
 }
 
 /// A file that can't be used. Nothing of it has taken effect.
@@ -64,10 +68,12 @@
     /// All that is wrong in it, in the order of the file.
     pub fn parse(text: &str, classes: &[ClassFacts]) -> Result<Options, Vec<Finding>> {
         let root: Root = toml::from_str(text).map_err(|e| vec![Finding::of(text, &e)])?;
-        let owed = root.owed.map(|section| section.check(classes)).transpose().map_err(|mut found| {
-            found.sort_by_key(|f| f.place.start);
-            found.into_iter().map(|f| Finding::at(text, f.place.start, f.what)).collect::<Vec<_>>()
-        })?;
-        Ok(Options { owed })
+        let mut found: Vec<Placed> = Vec::new();
+        let owed = root.owed.map(|section| section.check(classes).map_err(|f| found.extend(f)));
+        let fleet = root.fleet.map(|section| section.check().map_err(|f| found.extend(f)));
+        if !found.is_empty() {
+            return Err(Placed::findings(text, found));
+        }
+        Ok(Options { owed: owed.and_then(Result::ok), fleet: fleet.and_then(Result::ok) })
     }
 }
--- a/crates/owed/src/rules.rs
+++ b/crates/owed/src/rules.rs
@@ -5,6 +5,7 @@
 
 use crate::debt::{Debt, Reason};
 use crate::plan::ClassFacts;
+pub use embershore_finding::Placed as Finding;
 use heronroute::{Effect, Micros};
 use serde::Deserialize;
 use std::collections::BTreeSet;
@@ -172,15 +173,6 @@
     pub rules: Vec<Rule>,
 }
 
-/// Something wrong in the section, and where: bytes of the text that was read.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Finding {
-    /// Where, in bytes.
-    pub place: Range<usize>,
-    /// What, and the mend.
-    pub what: String,
-}
-
 /// Rules that can't be used. Nothing of them has taken effect.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum RulesError {
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -11,6 +11,7 @@
 
 mod fleet;
 mod member;
+pub mod options;
 mod peers;
 mod view;
 
--- a/crates/sender/src/check.rs
+++ b/crates/sender/src/check.rs
@@ -6,8 +6,11 @@
 use embershore_options::{Options, OptionsError};
 use embershore_owed::rules::Then;
 use embershore_owed::{ClassFacts, Reason, Rules};
+use embershore_peer::options::FleetOptions;
 use heronroute::Effect;
 use serde::Serialize;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
@@ -51,6 +54,45 @@
     humantime::format_duration(std::time::Duration::from_micros(micros.max(0) as u64)).to_string()
 }
 
+/// What the section on the fleet amounts to.
+#[derive(Debug, PartialEq, Serialize)]
+struct Seen {
+    name: String,
+    address: SocketAddr,
+    domain: String,
+    members: usize,
+    majority: usize,
+    domains: usize,
+    /// The domain with the most members, and how many.
+    largest: (String, usize),
+    outlives_a_domain: bool,
+}
+
+impl Seen {
+    fn of(fleet: &FleetOptions) -> Seen {
+        let (largest, size) = fleet.largest_domain();
+        Seen {
+            name: fleet.name.clone(),
+            address: fleet.address,
+            domain: fleet.domain.clone(),
+            members: fleet.fleet.size(),
+            majority: fleet.fleet.majority(),
+            domains: fleet.domains.values().collect::<BTreeSet<_>>().len(),
+            largest: (largest.to_string(), size),
+            outlives_a_domain: fleet.outlives_a_domain(),
+        }
+    }
+
+    fn text(&self) -> String {
+        let Seen { name, address, domain, members, majority, domains, largest: (largest, size), .. } = self;
+        let lost = if self.outlives_a_domain { "a majority is left" } else { "no majority is left" };
+        format!(
+            "fleet: this is '{name}' at {address} in '{domain}', one of {members} in {domains} domains; a majority is \
+             {majority}; without '{largest}', the largest with {size}, {lost}"
+        )
+    }
+}
+
 /// In words, what a rule does with a message of this class that ended for this reason.
 fn fate(rules: &Rules, receiver: i64, class: &ClassFacts, reason: Reason) -> (Option<String>, String) {
     let Some(rule) = rules.rule_of(receiver, &class.name, reason) else {
@@ -129,7 +171,7 @@
     match Options::read(&arguments.file, &classes) {
         Ok(options) => {
             let fates = options.owed.as_ref().map(|rules| fates(rules, &classes));
-            show(arguments, fates);
+            show(arguments, fates, options.fleet.as_ref().map(Seen::of));
             ExitCode::SUCCESS
         }
         Err(OptionsError::Wrong { findings, .. }) if arguments.json => {
@@ -147,14 +189,19 @@
     }
 }
 
-fn show(arguments: &Arguments, fates: Option<Vec<Fate>>) {
+fn show(arguments: &Arguments, fates: Option<Vec<Fate>>, fleet: Option<Seen>) {
     if arguments.json {
-        println!("{}", serde_json::json!({ "good": true, "owed": fates }));
+        println!("{}", serde_json::json!({ "good": true, "owed": fates, "fleet": fleet }));
         return;
     }
     println!("{}: good", arguments.file.display());
+    if let Some(fleet) = &fleet {
+        println!("{}", fleet.text());
+    }
     let Some(fates) = fates else {
-        println!("nothing is switched on");
+        if fleet.is_none() {
+            println!("nothing is switched on");
+        }
         return;
     };
     println!("{:<10} {:<18} {:<17} {:<20} what becomes of it", "receiver", "class", "given up as", "rule");
--- a/crates/sender/tests/check.rs
+++ b/crates/sender/tests/check.rs
@@ -67,3 +67,26 @@
     let (code, _, err) = check(folder.path(), GOOD, &[]);
     assert!(code == Some(2) && err.contains("--config"), "the classes must come from somewhere: {err}");
 }
+
+const FLEET: &str = "[fleet]\nname = \"n1\"\nprobe = \"500ms\"\n\
+    [[fleet.member]]\nname = \"n0\"\naddress = \"10.0.0.10:7946\"\ndomain = \"rack-1\"\n\
+    [[fleet.member]]\nname = \"n1\"\naddress = \"10.0.0.11:7946\"\ndomain = \"rack-2\"\n\
+    [[fleet.member]]\nname = \"n2\"\naddress = \"10.0.0.12:7946\"\ndomain = \"rack-2\"\n";
+
+#[test]
+fn a_fleet_is_shown_with_what_it_outlives() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let (code, out, err) = check(folder.path(), FLEET, &["--config", "config.json"]);
+    assert_eq!((code, err.as_str()), (Some(0), ""));
+    let line = "fleet: this is 'n1' at 10.0.0.11:7946 in 'rack-2', one of 3 in 2 domains; a majority is 2; without \
+                'rack-2', the largest with 2, no majority is left";
+    assert!(out.contains(line), "{out}");
+    let (_, out, _) = check(folder.path(), FLEET, &["--config", "config.json", "--json"]);
+    let told: serde_json::Value = serde_json::from_str(&out).expect("JSON");
+    assert_eq!((&told["fleet"]["majority"], &told["owed"]), (&2.into(), &serde_json::Value::Null));
+    // Findings of all sections come together, in the order of the file.
+    let wrong = FLEET.replace("10.0.0.12:7946", "10.0.0.11:7946") + "[owed]\nmax_mb = 0\n";
+    let (code, _, err) = check(folder.path(), &wrong, &["--config", "config.json"]);
+    let lines: Vec<&str> = err.lines().map(|l| l.split(": ").next().unwrap_or("")).collect();
+    assert_eq!((code, lines), (Some(1), vec!["options.toml:14:11", "options.toml:17:10"]), "{err}");
+}
