--- a/crates/peer/src/peers.rs
+++ b/crates/peer/src/peers.rs
@@ -177,7 +177,8 @@
     }
 
     fn list(&mut self, fleet: Fleet) {
-        self.desk.borrow_mut().listed = fleet.members().map(|(name, _)| name.to_string()).collect();
+        let listed = fleet.members().map(|(name, _)| name.to_string()).collect();
+        *self.desk.borrow_mut() = Desk { listed, ..Desk::default() };
         self.heard.retain(|name, _| fleet.members().any(|(listed, _)| listed == name));
         self.fleet = fleet;
     }
@@ -246,8 +247,13 @@
 
     /// When to call [`Peers::tick`] next; never later than an absence could be told from idleness.
     pub fn next(&self) -> Micros {
+        let look = self.looked + self.times.away / 2;
+        // A displaced one has nothing more to do than to know the time.
+        if self.displaced {
+            return look;
+        }
         let timer = self.timers.keys().next().map_or(Micros::MAX, |t| t.0);
-        timer.min(self.seek_at).min(self.looked + self.times.away / 2)
+        timer.min(self.seek_at).min(look)
     }
 
     /// A datagram to send, if any waits.
--- a/crates/peer/tests/fleet.rs
+++ b/crates/peer/tests/fleet.rs
@@ -122,8 +122,9 @@
     w.pass(10 * S);
     w.nodes.push(Node { peers: old, life: 1, stopped: false, address: address(5) });
     w.pass(20 * S);
-    let old = w.nodes[12].peers.as_ref().unwrap().view(w.now);
-    assert!(!old.majority, "{old:?}");
+    let old = w.nodes[12].peers.as_ref().unwrap();
+    // It says nothing more, and does not keep its process busy.
+    assert!(old.view(w.now).displaced && !old.view(w.now).majority && old.next() > w.now);
     assert!(w.view(5).majority && !w.view(5).displaced);
 }
 
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -564,7 +564,7 @@
                     let top = lane.limit.unwrap_or(f64::INFINITY);
                     let own = self.dests.get(&lane.dest).map_or(0.0, |d| d.share.get(now));
                     let fair = top / self.set.senders as f64 * FAIR_LEAST;
-                    // Filled calls are the fewest that carry this sender's traffic, whatever part of all it is.
+                    // Filled calls are the fewest that carry this sender's traffic, whatever its part.
                     let batch = self.set.kinds.get(e.kind).map_or(1, |k| k.batch.max(1)) as f64;
                     let filled = if batch > 1.0 { own / (batch * FILL) } else { 0.0 };
                     let least = (own * BUDGET_LEAST).min(fair).max(filled).max(0.01);
