--- a/crates/sender/tests/reload.rs
+++ b/crates/sender/tests/reload.rs
@@ -194,7 +194,8 @@
         wait_until("the file to be turned down", || sender.figures()["sighup_rejected"].as_u64() > before);
         std::fs::write(&path, &good).unwrap();
     }
-    assert!(client.put("a0", "c=more,d=1000,dest=3").starts_with("-ERR"));
+    let told = client.put("a0", "c=more,d=1000,dest=3");
+    assert!(told.starts_with("-ERR"), "{told}");
     assert_eq!(client.put("a1", SYNC), "+OK");
     endpoint.wait_sent("a1");
     assert!(nowhere.paths().is_empty(), "discovery has not moved");
