Read over: signs of full tables are swept, and one look at the listed endpoints

Found by reading the change once more: since the sign of a refused connection is kept by lane, one of a lane that is gone stayed for ever, which a month of new destinations would have shown; `usable` went over a destination's endpoints six times a look; the size of a kind's batch was looked up in three places and filled calls were reckoned in two; the default times of membership stood as figures and as ratios; the agreed list was copied into the codec's desk.

No decision changes.

--- a/crates/peer/src/fleet.rs
+++ b/crates/peer/src/fleet.rs
@@ -74,13 +74,18 @@
     /// When more than one member came or went, or the member itself is not on it.
     pub fn change(&self, next: &Fleet, me: &str) -> Result<(), FleetError> {
         next.holds(me)?;
-        let gone = self.members.keys().filter(|name| !next.members.contains_key(*name)).count();
-        let new = next.members.keys().filter(|name| !self.members.contains_key(*name)).count();
+        let gone = self.members.keys().filter(|name| !next.lists(name)).count();
+        let new = next.members.keys().filter(|name| !self.lists(name)).count();
         if gone + new > 1 { Err(FleetError::Leap(gone + new)) } else { Ok(()) }
     }
 
     pub(crate) fn holds(&self, me: &str) -> Result<(), FleetError> {
-        if self.members.contains_key(me) { Ok(()) } else { Err(FleetError::Absent(me.into())) }
+        if self.lists(me) { Ok(()) } else { Err(FleetError::Absent(me.into())) }
+    }
+
+    /// Whether it names such a member.
+    pub fn lists(&self, name: &str) -> bool {
+        self.members.contains_key(name)
     }
 
     /// How many members it has; never none.
--- a/crates/peer/src/options.rs
+++ b/crates/peer/src/options.rs
@@ -23,14 +23,10 @@
 pub struct Section {
     name: Spanned<String>,
     #[serde(default)]
-    member: Vec<Spanned<RawMember>>,
-    #[serde(default)]
+    member: Vec<RawMember>,
     probe: Option<Spanned<Span>>,
-    #[serde(default)]
     answer: Option<Spanned<Span>>,
-    #[serde(default)]
     away: Option<Spanned<Span>>,
-    #[serde(default)]
     near: Option<Spanned<Span>>,
 }
 
@@ -72,7 +68,7 @@
 
     /// Whether a majority is left when any one domain fails.
     pub fn outlives_a_domain(&self) -> bool {
-        self.fleet.size() - self.largest_domain().1.min(self.fleet.size()) >= self.fleet.majority()
+        self.fleet.size() - self.largest_domain().1 >= self.fleet.majority()
     }
 }
 
@@ -120,13 +116,13 @@
     pub fn check(&self) -> Result<FleetOptions, Vec<Placed>> {
         let mut c = Check::default();
         c.word("name", &self.name);
-        let base = Times::default();
-        let probe = c.time("probe", self.probe.as_ref(), base.probe);
+        let probe = c.time("probe", self.probe.as_ref(), Times::default().probe);
+        let usual = Times::of(probe);
         let times = Times {
             probe,
-            answer: c.time("answer", self.answer.as_ref(), probe * 2 / 5),
-            away: c.time("away", self.away.as_ref(), probe * 2),
-            near: c.time("near", self.near.as_ref(), probe * 8),
+            answer: c.time("answer", self.answer.as_ref(), usual.answer),
+            away: c.time("away", self.away.as_ref(), usual.away),
+            near: c.time("near", self.near.as_ref(), usual.near),
         };
         let place = |time: &Option<Spanned<Span>>| time.as_ref().map_or(self.name.span(), Spanned::span);
         if probe < PROBE_LEAST.as_micros() as Micros {
@@ -149,7 +145,7 @@
         }
         let (mut list, mut domains, mut own) = (Vec::new(), BTreeMap::new(), None);
         let mut addresses: BTreeMap<SocketAddr, &str> = BTreeMap::new();
-        for member in self.member.iter().map(Spanned::get_ref) {
+        for member in &self.member {
             c.word("name", &member.name);
             c.word("domain", &member.domain);
             let (name, domain) = (member.name.get_ref(), member.domain.get_ref());
--- a/crates/peer/src/peers.rs
+++ b/crates/peer/src/peers.rs
@@ -46,19 +46,25 @@
     pub near: Micros,
 }
 
+impl Times {
+    /// What suits members that probe so often, in microseconds.
+    pub fn of(probe: Micros) -> Self {
+        Times { probe, answer: probe * 2 / 5, away: probe * 2, near: probe * 8 }
+    }
+}
+
 impl Default for Times {
     fn default() -> Self {
-        Times { probe: 1_000_000, answer: 400_000, away: 2_000_000, near: 8_000_000 }
+        Times::of(1_000_000)
     }
 }
 
 /// What the codec and the rest share: the codec alone sees who a datagram is from and whom it names.
-#[derive(Default)]
 struct Desk {
     from: Option<String>,
+    fleet: Rc<Fleet>,
     /// Names that are not on the list but were told of: a list may be older than another's.
     strangers: BTreeSet<String>,
-    listed: BTreeSet<String>,
 }
 
 impl Desk {
@@ -66,10 +72,10 @@
         if !member.is_sound() {
             return false;
         }
-        if self.listed.contains(&member.name) || self.strangers.contains(&member.name) {
+        if self.fleet.lists(&member.name) || self.strangers.contains(&member.name) {
             return true;
         }
-        self.listed.len() + self.strangers.len() < MEMBERS_MOST && self.strangers.insert(member.name.clone())
+        self.fleet.size() + self.strangers.len() < MEMBERS_MOST && self.strangers.insert(member.name.clone())
     }
 }
 
@@ -117,7 +123,7 @@
     foca: Foca<Member, Checked, SmallRng, NoCustomBroadcast>,
     runtime: AccumulatingRuntime<Member>,
     desk: Rc<RefCell<Desk>>,
-    fleet: Fleet,
+    fleet: Rc<Fleet>,
     times: Times,
     /// After an absence, how long it takes until what has gone meanwhile is found out.
     settle: Micros,
@@ -146,15 +152,18 @@
     /// When its name is not on the agreed list.
     pub fn new(me: Member, fleet: Fleet, times: Times, seed: u64, now: Micros) -> Result<Peers, FleetError> {
         fleet.holds(&me.name)?;
-        let desk = Rc::new(RefCell::new(Desk::default()));
+        let fleet = Rc::new(fleet);
+        let desk = Desk { from: None, fleet: fleet.clone(), strangers: BTreeSet::new() };
+        let desk = Rc::new(RefCell::new(desk));
         let config = config(&fleet, times);
         let settle = micros(config.suspect_to_down_after) + 2 * times.probe;
         let foca = Foca::new(me, config, SmallRng::seed_from_u64(seed), Checked(desk.clone()));
-        let mut peers = Peers {
+        let sought = seed as usize % fleet.size().max(1);
+        Ok(Peers {
             foca,
             runtime: AccumulatingRuntime::new(),
             desk,
-            fleet: Fleet::default(),
+            fleet,
             times,
             settle,
             timers: BTreeMap::new(),
@@ -170,17 +179,8 @@
             looked: now,
             away_until: now,
             seek_at: now,
-            sought: seed as usize % fleet.size().max(1),
-        };
-        peers.list(fleet);
-        Ok(peers)
-    }
-
-    fn list(&mut self, fleet: Fleet) {
-        let listed = fleet.members().map(|(name, _)| name.to_string()).collect();
-        *self.desk.borrow_mut() = Desk { listed, ..Desk::default() };
-        self.heard.retain(|name, _| fleet.members().any(|(listed, _)| listed == name));
-        self.fleet = fleet;
+            sought,
+        })
     }
 
     /// Takes over another agreed list.
@@ -191,7 +191,10 @@
         self.fleet.change(&fleet, &self.foca.identity().name)?;
         // Of a list that has shrunk or grown by one the times are the same but for a part in many.
         _ = self.foca.set_config(config(&fleet, self.times));
-        self.list(fleet);
+        self.heard.retain(|name, _| fleet.lists(name));
+        self.fleet = Rc::new(fleet);
+        // Who was a stranger by the list before may be none now, and the other way round.
+        *self.desk.borrow_mut() = Desk { from: None, fleet: self.fleet.clone(), strangers: BTreeSet::new() };
         Ok(())
     }
 
@@ -219,7 +222,7 @@
             self.dropped += 1;
         } else {
             let from = self.desk.borrow_mut().from.take();
-            let listed = from.filter(|name| self.desk.borrow().listed.contains(name));
+            let listed = from.filter(|name| self.fleet.lists(name));
             self.heard.extend(listed.map(|name| (name, now)));
         }
         self.drain(now);
--- a/crates/sender/src/driver.rs
+++ b/crates/sender/src/driver.rs
@@ -39,6 +39,7 @@
 /// ... and the process this long, before it is killed.
 const EXIT_AFTER: Micros = 3_500_000;
 const RETIRE_EVERY: Micros = 500_000;
+
 /// What a message needs while it is held, beside its journal entry.
 #[derive(Default)]
 struct Live {
--- a/src/company.rs
+++ b/src/company.rs
@@ -17,7 +17,12 @@
 /// The same with no sign of scarcity but that this sender's part is above the least.
 const WIDEST_CALM: f64 = 0.7;
 /// Share of a call that a sender with much traffic fills.
-pub(crate) const FILL: f64 = 0.7;
+const FILL: f64 = 0.7;
+
+/// Calls a second that carry so many messages a second where each is filled as far as one fills it.
+pub(crate) fn filled(own: f64, batch: f64) -> f64 {
+    own / (batch * FILL)
+}
 
 /// What a sender sees of a lane whose calls several messages may share.
 #[derive(Clone, Copy, Debug)]
@@ -45,7 +50,7 @@
         let scarce = ((part - CALM) / (FULL - CALM)).clamp(0.0, 1.0);
         let scarce = if self.refused { 1.0 } else { scarce };
         let widest = (WIDEST_CALM + (WIDEST - WIDEST_CALM) * scarce) * self.aim / 1e6;
-        Some((self.equal * LINGER).max(self.own / (self.batch * FILL)).max(1.0 / widest))
+        Some((self.equal * LINGER).max(filled(self.own, self.batch)).max(1.0 / widest))
     }
 }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -231,6 +231,11 @@
 impl std::error::Error for SettingsError {}
 
 impl Settings {
+    /// Messages that a call of a kind takes; one where the kind is not known.
+    pub(crate) fn batch(&self, kind: usize) -> u32 {
+        self.kinds.get(kind).map_or(1, |k| k.batch.max(1))
+    }
+
     /// Checks the figures that the dispatcher relies on.
     ///
     /// # Errors
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -5,7 +5,7 @@
 //! each endpoint's health with single trials, and a paced return. A *lane* has one limit and one pool: it is
 //! a destination, or one route of it where routes are apart.
 
-use crate::company::{FILL, Signs};
+use crate::company::{Signs, filled};
 use crate::interface::*;
 use crate::state::*;
 use crate::turns::Turn;
@@ -147,7 +147,7 @@
     /// Destinations with a hold for which something has changed, or that wait for a slot.
     pub(crate) ready: BTreeSet<DestId>,
     plain: ClassSettings,
-    /// When each kind last refused a connection; endpoints whose calls ended in this round.
+    /// When each kind last refused a connection, by lane; endpoints whose calls ended in this round.
     scarce: BTreeMap<(usize, LaneKey), Micros>,
     idle: BTreeSet<EndpointId>,
     open: usize,
@@ -425,6 +425,7 @@
             _ => self.dests.contains_key(&lane.dest),
         });
         self.keys.retain(|_, k| !k.queue.is_empty() || k.rest_until > now);
+        self.scarce.retain(|_, t| now - *t <= SCARCE);
     }
 
     fn read(&mut self, endpoint: EndpointId, report: Option<Report>) {
@@ -565,8 +566,8 @@
                     let own = self.dests.get(&lane.dest).map_or(0.0, |d| d.share.get(now));
                     let fair = top / self.set.senders as f64 * FAIR_LEAST;
                     // Filled calls are the fewest that carry this sender's traffic, whatever its part.
-                    let batch = self.set.kinds.get(e.kind).map_or(1, |k| k.batch.max(1)) as f64;
-                    let filled = if batch > 1.0 { own / (batch * FILL) } else { 0.0 };
+                    let batch = self.set.batch(e.kind) as f64;
+                    let filled = if batch > 1.0 { filled(own, batch) } else { 0.0 };
                     let least = (own * BUDGET_LEAST).min(fair).max(filled).max(0.01);
                     let from = lane.budget.min(top).min((lane.accepted.get(now) * slack).max(least));
                     lane.budget = (from * BUDGET_CUT).max(least);
@@ -824,7 +825,7 @@
                 let fair = lane.limit.map_or(own.max(0.2), |l| own.min(l / senders * FAIR_GROWTH));
                 lane.budget = (lane.budget + BUDGET_GROWTH * fair * dt).min(cap.max(0.5));
             }
-            let batch = self.set.kinds.get(e.kind).map_or(1.0, |k| k.batch.max(1) as f64);
+            let batch = self.set.batch(e.kind) as f64;
             let refused = lane.cut > 0 && now - lane.cut < ALERT;
             let signs = lane.limit.filter(|_| batch > 1.0).map(|l| {
                 let equal = l / senders;
@@ -934,20 +935,21 @@
         let (mut list, mut look) = (Vec::new(), Look { at: Micros::MAX, slot: false });
         let Some(d) = self.dests.get(&dest) else { return (list, look) };
         let mine = || d.endpoints.iter().filter_map(|id| self.endpoints.get(id).map(|e| (id, e)));
-        let doubtful = mine().any(|(_, e)| e.listed && self.doubtful(e));
+        let listed: Vec<_> = mine().filter(|(_, e)| e.listed).collect();
+        let doubtful = listed.iter().any(|(_, e)| self.doubtful(e));
         let sick = doubtful && self.sick_out() >= self.share_of_slots(ALL_SICK_CAP);
         let (full, borrow) = (self.full(d), self.borrows(d));
         let open = |e: &Endpoint| now - e.used < self.set.idle_close && e.out < e.conns * self.set.streams;
         // What this sender's own traffic keeps in use costs a handshake once, and not for each call.
         let kept = d.share.get(now) * self.set.idle_close as f64 / 1e6;
-        let zones: BTreeSet<usize> = mine().filter(|(_, e)| e.listed).map(|(_, e)| e.zone).collect();
-        let home = mine().filter(|(_, e)| e.listed && e.zone == self.set.zone).count() as f64;
+        let zones: BTreeSet<usize> = listed.iter().map(|(_, e)| e.zone).collect();
+        let home = listed.iter().filter(|(_, e)| e.zone == self.set.zone).count() as f64;
         // Of a zone with few endpoints of this destination, some senders go to all zones.
-        let part = home * zones.len() as f64 * CROWD / mine().filter(|(_, e)| e.listed).count().max(1) as f64;
+        let part = home * zones.len() as f64 * CROWD / listed.len().max(1) as f64;
         let apart = |e: &Endpoint| e.zone != self.set.zone && self.homely < part;
         let spread = kept >= KEPT * (1 + mine().filter(|(_, e)| open(e)).count()) as f64;
         look.slot = sick;
-        for (id, e) in mine().filter(|(_, e)| e.listed) {
+        for (id, e) in listed {
             let Some(lane) = self.lanes.get(&e.lane) else { continue };
             // A call that outlives the sender may have run for nothing: it is left to the next start.
             if self.stop_at.is_some_and(|at| now + lane.latency.p99() as Micros > at) {
@@ -1140,7 +1142,7 @@
         let (now, Choice { id, endpoint, careful, .. }) = (self.now, choice);
         let e = &self.endpoints[&endpoint];
         let (dest, kind, trial) = (e.dest, e.kind, e.trouble.is_some());
-        let most = if trial { 1 } else { self.set.kinds.get(kind).map_or(1, |k| k.batch.max(1)) as usize };
+        let most = if trial { 1 } else { self.set.batch(kind) as usize };
         let others = self.dests[&dest].hold.iter().map(|(_, other)| *other);
         let others = others.filter(|other| *other != id && self.fits(*other, endpoint, careful));
         let Some(lane) = self.lanes.get(&e.lane) else { return };
