Deadlines exact and ended a round early; silent, trickling and indented watches; notices

Now the time left counts from the round, the end comes two quanta early, and an answer past the time is followed by a notice. Ruled out: exits and notices (none unconfirmed).

The fleet no longer learns what the driver may not be told (no test: the inbox would have to be full).

--- a/crates/sender/src/asking.rs
+++ b/crates/sender/src/asking.rs
@@ -9,7 +9,10 @@
 
 /// The first and the longest pause after a failure, where asking costs discovery nothing.
 const RETRY_FIRST: Duration = Duration::from_millis(100);
-const RETRY_MOST: Duration = Duration::from_secs(2);
+const RETRY_MOST: Duration = Duration::from_millis(150);
+/// Within this a watch that fell silent is opened anew, also where asking costs discovery work: what it misses counts
+/// as told soon.
+const SILENT: Duration = Duration::from_secs(1);
 /// Part of the span between two questions over which the first ones of many senders are spread: what is left is for
 /// those that must ask twice.
 const SPREAD: f64 = 0.8;
@@ -64,6 +67,12 @@
         if self.is_dear() { self.together() } else { self.failed() }
     }
 
+    /// An open watch fell silent, as those of all senders may have.
+    pub fn silent(&mut self) -> Duration {
+        self.heard();
+        if self.is_dear() { SILENT.mul_f64(self.chance()) } else { self.failed() }
+    }
+
     /// Discovery has told something, or is another one.
     pub fn heard(&mut self) {
         self.pause = self.every.map_or(RETRY_FIRST, |e| e.mul_f64(AGAIN));
--- a/crates/sender/src/clients.rs
+++ b/crates/sender/src/clients.rs
@@ -150,6 +150,8 @@
     buf: BytesMut,
     /// When the command that `buf` begins with began.
     begun: Instant,
+    /// Its client has ended its sending: it may still read.
+    ended: bool,
     /// Held while `buf` may grow beyond a usual command.
     long: Option<OwnedSemaphorePermit>,
     driver: mpsc::Sender<Input>,
@@ -176,7 +178,7 @@
                 }
             }
             if answers.is_empty() {
-                if !self.read().await? {
+                if self.ended || !self.read().await? {
                     return Ok(());
                 }
                 continue;
@@ -289,7 +291,9 @@
         }
     }
 
-    /// The answer's text; nothing once the client has gone. Dropping the driver's channel tells it so.
+    /// The answer's text; nothing once the connection is broken. Dropping the driver's channel tells it so. A client
+    /// that has ended its sending may have left, or still read: what is not taken on yet is withdrawn and refused, which
+    /// does no harm either way, and what was taken on before is told.
     async fn wait(&mut self, answer: Answer) -> Option<String> {
         let (mut answer, _counted) = match answer {
             Answer::Now(text) => return Some(text),
@@ -301,7 +305,7 @@
             }
             Answer::Later(answer, counted) => (answer, counted),
         };
-        loop {
+        while !self.ended {
             let room = self.buf.len() < USUAL_MOST;
             if room {
                 self.buf.reserve(READ_AHEAD);
@@ -309,13 +313,10 @@
             tokio::select! {
                 biased;
                 reply = &mut answer => return Some(reply.unwrap_or(Reply::Busy { after_ms: 0 }).line()),
-                n = self.socket.read_buf(&mut self.buf), if room => {
-                    if n.ok()? == 0 {
-                        return None;
-                    }
-                }
+                n = self.socket.read_buf(&mut self.buf), if room => self.ended = n.ok()? == 0,
             }
         }
+        Some(answer.try_recv().unwrap_or(Reply::Busy { after_ms: 0 }).line())
     }
 }
 
@@ -369,7 +370,7 @@
         places.open.set(places.taken.borrow().len());
         let seat = Seat { places: places.clone(), number, place: place.clone() };
         let (buf, driver, standing) = (BytesMut::new(), driver.clone(), standing.clone());
-        let client = Client { socket, buf, begun: now, long: None, driver, standing, seat };
+        let client = Client { socket, buf, begun: now, ended: false, long: None, driver, standing, seat };
         let task = tokio::task::spawn_local(async move {
             // A client that breaks off is no fault of the sender's.
             _ = client.serve().await;
--- a/crates/sender/src/discovery.rs
+++ b/crates/sender/src/discovery.rs
@@ -5,7 +5,7 @@
 use crate::fleet::Fleet;
 use crate::input::Input;
 use bytes::Bytes;
-use embershore_protocol::listing::Listing;
+use embershore_protocol::listing::{Listing, Listings};
 use http_body_util::{BodyExt, Full};
 use hyper::Request;
 use hyper::body::Incoming;
@@ -16,10 +16,12 @@
 use std::time::{Duration, Instant};
 use tokio::sync::{mpsc, watch};
 
-/// The watch says something every 2 s; a silence this long means that it is dead.
-const SILENCE: Duration = Duration::from_secs(5);
-/// An answer begins at once unless discovery is down; asked again, it answers as soon as it is back.
-const ANSWER_TIME: Duration = Duration::from_secs(2);
+/// The watch says something whole every 2 s; when it has not for this long it is dead, also where it trickles. What it
+/// misses counts as told 6 s after it fell silent: by then a further question may have hung, and the next been answered.
+const SILENCE: Duration = Duration::from_secs(3);
+/// An answer begins at once unless discovery is down. What it has to tell at its return counts at once: no question may
+/// hang for longer than the least time in which a drain has to be heeded leaves.
+const ANSWER_TIME: Duration = Duration::from_millis(600);
 /// Where asking costs it work, a question may stand in line that long before its answer says whether it succeeded.
 const ANSWER_TIME_DEAR: Duration = Duration::from_secs(4);
 const LINE_MOST: usize = 4 << 20;
@@ -42,12 +44,21 @@
         let dear = asking.is_dear();
         let work = async {
             tokio::time::sleep(pause).await;
-            let begun = Instant::now();
-            if let Err(e) = watch(at, &mut index, dear, &fleet, &driver).await {
+            let (begun, mut opened) = (Instant::now(), false);
+            let ended = watch(at, &mut index, dear, &mut opened, &fleet, &driver).await;
+            let silent = ended.as_ref().is_err_and(|e| opened && e.kind() == io::ErrorKind::TimedOut);
+            if let Err(e) = ended {
                 eprintln!("discovery: {e}");
             }
             // A watch that fails may bring a line first that tells nothing.
-            index != before || begun.elapsed() > SILENCE
+            let well = index != before || begun.elapsed() > SILENCE;
+            if silent {
+                End::Silent
+            } else if well {
+                End::Well
+            } else {
+                End::Failed
+            }
         };
         tokio::select! {
             biased;
@@ -56,16 +67,31 @@
                 (index, pause) = (None, Duration::ZERO);
                 asking.heard();
             }
-            well = work => pause = if well { asking.ended() } else { asking.failed() },
+            end = work => pause = match end {
+                End::Silent => asking.silent(),
+                End::Well => asking.ended(),
+                End::Failed => asking.failed(),
+            },
         }
     }
 }
 
-/// Lists of endpoints as they are told, one a line.
+/// How a watch, or the attempt at one, has ended.
+enum End {
+    /// It was open and fell silent.
+    Silent,
+    /// It was of use first.
+    Well,
+    Failed,
+}
+
+/// Lists of endpoints as they are told.
 struct Lines {
     connection: Connection,
     body: Incoming,
-    text: Vec<u8>,
+    listings: Listings,
+    /// Since when nothing whole has come.
+    since: Instant,
 }
 
 impl Lines {
@@ -82,46 +108,52 @@
             let kind = if busy { io::ErrorKind::ResourceBusy } else { io::ErrorKind::Other };
             return Err(io::Error::new(kind, format!("status {status}")));
         }
-        Ok(Lines { connection, body: response.into_body(), text: Vec::new() })
+        let (body, listings) = (response.into_body(), Listings::default());
+        Ok(Lines { connection, body, listings, since: Instant::now() })
     }
 
-    /// Reads on; false at the end.
-    async fn read(&mut self) -> io::Result<bool> {
-        if self.text.len() > LINE_MOST {
-            return Err(io::Error::other("a line is too long"));
-        }
+    /// Reads on; nothing at the end.
+    async fn read(&mut self) -> io::Result<Option<Bytes>> {
+        let until = (self.since + SILENCE).into();
         let frame = self.connection.drive(self.body.frame());
-        let Some(frame) = tokio::time::timeout(SILENCE, frame).await.map_err(silent)? else {
-            return Ok(false);
+        let Some(frame) = tokio::time::timeout_at(until, frame).await.map_err(silent)? else {
+            return Ok(None);
         };
-        if let Ok(data) = frame.map_err(io::Error::other)?.into_data() {
-            self.text.extend_from_slice(&data);
-        }
-        Ok(true)
+        Ok(Some(frame.map_err(io::Error::other)?.into_data().unwrap_or_default()))
     }
 
     /// All of it as one list.
     async fn whole(mut self) -> io::Result<Listing> {
-        while self.read().await? {}
-        Ok(serde_json::from_slice(&self.text)?)
+        let mut text = Vec::new();
+        while let Some(bytes) = self.read().await? {
+            text.extend_from_slice(&bytes);
+            within_bounds(text.len())?;
+        }
+        Ok(serde_json::from_slice(&text)?)
     }
 
     async fn next(&mut self) -> io::Result<Option<Listing>> {
         loop {
-            match self.text.iter().position(|b| *b == b'\n') {
-                Some(end) => {
-                    let line: Vec<u8> = self.text.drain(..=end).collect();
-                    if !line.iter().all(u8::is_ascii_whitespace) {
-                        return Ok(Some(serde_json::from_slice(&line)?));
-                    }
-                }
-                None if !self.read().await? => return Ok(None),
-                None => {}
+            let whole = self.listings.next_whole();
+            if let Some(list) = whole.map_err(|e| io::Error::new(io::ErrorKind::InvalidData, e))? {
+                self.since = Instant::now();
+                return Ok(Some(list));
+            }
+            if !self.listings.is_within() {
+                self.since = Instant::now();
             }
+            within_bounds(self.listings.kept())?;
+            let Some(bytes) = self.read().await? else { return Ok(None) };
+            self.listings.extend(&bytes);
         }
     }
 }
 
+/// Guards the memory against a list that never ends.
+fn within_bounds(length: usize) -> io::Result<()> {
+    if length > LINE_MOST { Err(io::Error::other("a list is too long")) } else { Ok(()) }
+}
+
 fn silent<E>(_: E) -> io::Error {
     io::Error::new(io::ErrorKind::TimedOut, "silent")
 }
@@ -131,13 +163,17 @@
     addr: SocketAddr,
     index: &mut Option<u64>,
     dear: bool,
+    opened: &mut bool,
     fleet: &RefCell<Fleet>,
     driver: &mpsc::Sender<Input>,
 ) -> io::Result<()> {
+    // The place comes first: a new address may end the wait for it, and the fleet must not know what the driver has
+    // not been told.
     let tell = async |listing: Listing| {
+        let place = driver.reserve().await.map_err(io::Error::other)?;
         let entries = fleet.borrow_mut().apply(&listing);
-        let news = Input::Members { index: listing.index, whole: listing.snapshot, entries };
-        driver.send(news).await.map_err(io::Error::other)
+        place.send(Input::Members { index: listing.index, whole: listing.snapshot, entries });
+        Ok::<(), io::Error>(())
     };
     let open = async || tokio::time::timeout(ANSWER_TIME, Connection::open(addr)).await.map_err(silent)?;
     let since = match *index {
@@ -162,6 +198,7 @@
             return Err(e);
         }
     };
+    *opened = true;
     // The same for one after which it says nothing, unless it may only have had no time for it.
     *index = index.filter(|_| dear);
     let mut known = since;
--- a/crates/sender/src/driver.rs
+++ b/crates/sender/src/driver.rs
@@ -54,6 +54,8 @@
 /// A client that waits to hear whether its message is taken on.
 struct Newcomer {
     put: Put,
+    /// When its time is up.
+    deadline: Micros,
     reply: oneshot::Sender<Reply>,
 }
 
@@ -280,7 +282,8 @@
         self.by_request.insert(put.request_id.clone(), id);
         self.rows.enter(class);
         self.live.insert(id, Live { row: class, ..Live::default() });
-        self.newcomers.insert(id, Newcomer { put, reply });
+        let deadline = self.clock.now() + put.time_left;
+        self.newcomers.insert(id, Newcomer { put, deadline, reply });
     }
 
     /// The rules for this message, or why no sender could take it on.
@@ -309,7 +312,11 @@
             let (id, outcome, last) = (fate.id, fate.outcome, fate.over);
             if let Some(live) = self.live.get_mut(&id) {
                 live.call = None;
-                if last {
+                let deadline = self.journal.borrow().get(id.0).map(|e| e.accepted.deadline);
+                if last && outcome == Outcome::Done && deadline.is_some_and(|at| at < self.clock.now()) {
+                    // Delivered out of its time, which may count for nothing: its client is owed word all the same.
+                    self.end(id, End::Failed);
+                } else if last {
                     if outcome == Outcome::Done
                         && let Some(entry) = self.journal.borrow().get(id.0)
                     {
@@ -353,18 +360,34 @@
             self.timers.pop();
             self.events.push(Event::Timer { token });
         }
-        let events = std::mem::take(&mut self.events);
+        let mut events = std::mem::take(&mut self.events);
+        self.bring_up_to_date(now, &mut events);
         let mut actions = Vec::new();
         self.dispatcher.round(now, &events, &mut actions);
-        self.welcome(now, &events, &actions);
+        self.welcome(&events, &actions);
         self.carry_out(actions);
         self.keep_health();
         self.figures.outstanding.set(self.live.len() - self.newcomers.len());
     }
 
+    /// What time is left counts from the round, which may come a quantum after a message was read, or later at a start
+    /// that has much to read: the module would end it too late, and an answer that came then would count for nothing.
+    fn bring_up_to_date(&self, now: Micros, events: &mut [Event]) {
+        let journal = self.journal.borrow();
+        for event in events {
+            let (Event::Message { id, time_left, .. } | Event::Restored { id, time_left, .. }) = event else {
+                continue;
+            };
+            let new = self.newcomers.get(id).map(|n| n.deadline);
+            if let Some(deadline) = new.or_else(|| Some(journal.get(id.0)?.accepted.deadline)) {
+                *time_left = deadline - now;
+            }
+        }
+    }
+
     /// Answers the clients whose messages this round has seen: those refused at once hear it, the others'
     /// messages are written down first.
-    fn welcome(&mut self, now: Micros, events: &[Event], actions: &[Action]) {
+    fn welcome(&mut self, events: &[Event], actions: &[Action]) {
         let mut answers: BTreeMap<MsgId, Reply> = BTreeMap::new();
         if self.newcomers.is_empty() {
             return;
@@ -380,7 +403,7 @@
         }
         for event in events {
             let Event::Message { id, .. } = event else { continue };
-            let Some(Newcomer { put, reply }) = self.newcomers.remove(id) else { continue };
+            let Some(Newcomer { put, deadline, reply }) = self.newcomers.remove(id) else { continue };
             if let Some(answer) = answers.get(id) {
                 let busy = matches!(answer, Reply::Busy { .. });
                 self.figures.count(&put.class, if busy { Ending::Refused } else { Ending::Wrong });
@@ -396,7 +419,7 @@
                 order_key: put.order_key,
                 idempotency_key: put.idempotency_key,
                 dest: put.dest,
-                deadline: now + put.time_left,
+                deadline,
                 body: put.body,
             };
             let row = self.live.get(id).and_then(|live| self.rows.get(live.row));
--- a/crates/sender/src/notices.rs
+++ b/crates/sender/src/notices.rs
@@ -12,7 +12,10 @@
 use tokio::sync::{mpsc, watch};
 
 const BATCH_MOST: usize = 200;
-const PATIENCE: Duration = Duration::from_millis(1000);
+/// An answer comes at once, and a notice is due 0.3 s after its message's time at the latest: one that is not answered
+/// by the first of these is told again, on a new connection. Each further one has twice as long.
+const PATIENCE_FIRST: Duration = Duration::from_millis(100);
+const PATIENCE_MOST: Duration = Duration::from_millis(1000);
 const RETRY_FIRST: Duration = Duration::from_millis(20);
 const RETRY_MOST: Duration = Duration::from_millis(500);
 
@@ -27,11 +30,11 @@
     let mut batch = Vec::new();
     while queue.recv_many(&mut batch, BATCH_MOST).await > 0 {
         let body = Bytes::from(batch.iter().map(|n| line(&n.request_id, n.end)).collect::<String>());
-        let mut pause = RETRY_FIRST;
+        let (mut pause, mut patience) = (RETRY_FIRST, PATIENCE_FIRST);
         loop {
             let to = *addr.borrow_and_update();
             let work = async {
-                match tokio::time::timeout(PATIENCE, post(to, kept.take(), body.clone())).await {
+                match tokio::time::timeout(patience, post(to, kept.take(), body.clone())).await {
                     Ok(Ok(connection)) => return Ok(connection),
                     Ok(Err(e)) => eprintln!("notices: {e}"),
                     Err(_) => eprintln!("notices: no answer"),
@@ -46,10 +49,12 @@
                         kept = connection;
                         break;
                     }
-                    Err(()) => pause = (pause * 2).min(RETRY_MOST),
+                    Err(()) => {
+                        (pause, patience) = ((pause * 2).min(RETRY_MOST), (patience * 2).min(PATIENCE_MOST));
+                    }
                 },
                 // The other end of the channel lasts as long as the process.
-                _ = addr.changed() => pause = RETRY_FIRST,
+                _ = addr.changed() => (pause, patience) = (RETRY_FIRST, PATIENCE_FIRST),
             }
         }
         let told = Input::Noticed(batch.drain(..).map(|n| n.id).collect());
--- a/crates/sender/tests/common/mod.rs
+++ b/crates/sender/tests/common/mod.rs
@@ -339,6 +339,64 @@
     }
 }
 
+/// A platform that answers as its script does: what is asked, how many questions of the same path came before, and
+/// where to answer. Whatever the script does not write is not said.
+pub struct Scripted {
+    pub addr: SocketAddr,
+    asked: Arc<Mutex<Vec<(Instant, String)>>>,
+}
+
+impl Scripted {
+    pub fn new(script: impl Fn(&Request, usize, &mut TcpStream) + Send + Sync + 'static) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let addr = listener.local_addr().unwrap();
+        let asked: Arc<Mutex<Vec<(Instant, String)>>> = Arc::default();
+        let (log, script) = (asked.clone(), Arc::new(script));
+        thread::spawn(move || {
+            for stream in listener.incoming() {
+                let (log, script, mut stream) = (log.clone(), script.clone(), stream.unwrap());
+                thread::spawn(move || {
+                    let mut reader = BufReader::new(stream.try_clone().unwrap());
+                    while let Some(request) = read_request(&mut reader, 0) {
+                        let path = request.line.split(['?', ' ']).nth(1).unwrap_or_default().to_string();
+                        let follow =
+                            if request.line.contains("follow") { "watch" } else { &*path }.to_string();
+                        let before = {
+                            let mut log = log.lock().unwrap();
+                            log.push((Instant::now(), follow.clone()));
+                            log.iter().filter(|(_, p)| *p == follow).count() - 1
+                        };
+                        script(&request, before, &mut stream);
+                    }
+                });
+            }
+        });
+        Scripted { addr, asked }
+    }
+
+    /// When the questions of this path came, or those for a watch.
+    pub fn times(&self, path: &str) -> Vec<Instant> {
+        let asked = self.asked.lock().unwrap();
+        asked.iter().filter(|(_, p)| p == path).map(|(at, _)| *at).collect()
+    }
+}
+
+/// Writes an answer that is whole.
+pub fn answer(stream: &mut TcpStream, code: u16, body: &str) {
+    let text = format!("HTTP/1.1 {code} X\r\ncontent-length: {}\r\n\r\n{body}", body.len());
+    _ = stream.write_all(text.as_bytes());
+}
+
+/// Begins an answer that comes in pieces.
+pub fn begin(stream: &mut TcpStream) {
+    _ = stream.write_all(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n");
+}
+
+/// Writes a piece of an answer. False once nobody reads it.
+pub fn piece(stream: &mut TcpStream, text: &str) -> bool {
+    stream.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes()).is_ok()
+}
+
 fn chunk(stream: &mut TcpStream, value: &Value) {
     let text = format!("{value}\n");
     _ = stream.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes());
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -51,6 +51,7 @@
 const BATCH_WEIGHT: f64 = 0.25; // weight of a batch's further messages on a cold destination, in calls
 const TIMEOUT: f64 = 4.0; // repeatable messages are waited for this multiple of p99, and at least
 const TIMEOUT_LEAST: f64 = 1.2e6;
+const END_LEAD: Micros = 2; // a message ends this many quanta before its time: rounds are one apart
 const WINDOW_PART: f64 = 0.45; // an attempt ends after this part of a keyed window, so that a resend fits in
 /// Budget after a refusal as a share of what was accepted; its growth a second and the least of it, as
 /// shares of this sender's own demand, so that senders with more traffic get more.
@@ -209,7 +210,7 @@
         }
         d.hold.insert((seq, id));
         self.ready.insert(dest);
-        self.agenda.insert((msg.deadline - self.set.quantum, Due::Msg(id)));
+        self.agenda.insert((self.due(&msg), Due::Msg(id)));
         self.open += 1;
         self.msgs.insert(id, msg);
     }
@@ -642,7 +643,7 @@
         let Some(msg) = self.msgs.get_mut(&id) else { return };
         if !msg.closed {
             self.open -= 1;
-            self.agenda.remove(&(msg.deadline - self.set.quantum, Due::Msg(id)));
+            self.agenda.remove(&(msg.deadline - END_LEAD * self.set.quantum, Due::Msg(id)));
         }
         msg.closed = true;
         let entry = (msg.seq, id);
@@ -728,10 +729,16 @@
         }
     }
 
+    /// When a message's final answer is due: with rounds a quantum apart, before its time in any case. An answer that
+    /// comes after it may count for nothing.
+    fn due(&self, msg: &Msg) -> Micros {
+        msg.deadline - END_LEAD * self.set.quantum
+    }
+
     /// The final answer is due: time is up, or nothing more may be tried.
     fn expire(&mut self, id: MsgId, out: &mut Vec<Action>) {
         let Some(msg) = self.msgs.get(&id).filter(|m| !m.closed) else { return };
-        if self.now + self.set.quantum >= msg.deadline || (msg.out.is_empty() && !self.may_retry(id)) {
+        if self.now >= self.due(msg) || (msg.out.is_empty() && !self.may_retry(id)) {
             self.finish(id, out);
         }
     }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -279,7 +279,7 @@
     let set = Settings { senders: 300, idle_close: 60 * S, ..settings() };
     let entries = (1..=6).map(|i| entry(i, i64::from(i), 0)).chain([entry(50, 50, 0)]);
     let mut w = World::new(set, entries.collect());
-    let mut call = |w: &mut World, id: u64, dest: i64, outcome: Outcome| {
+    let call = |w: &mut World, id: u64, dest: i64, outcome: Outcome| {
         w.round(&[message(id, FREE, dest)]);
         w.pass(300 * MS);
         let Some(o) = w.out.iter().find(|o| o.id == id).cloned() else { return };
