--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -305,3 +305,26 @@
     assert!(lets_go(Outcome::Done), "new ones are refused, kept ones serve");
     assert!(!lets_go(Outcome::Busy), "a limit refuses both alike");
 }
+
+/// Seen on a day of the other customer: a message was answered 1.8 ms after its time, and had not been ended before it.
+#[test]
+fn a_message_ends_before_its_time_though_rounds_are_a_quantum_apart_and_late() {
+    for phase in (0..6 * MS).step_by(500) {
+        let mut w = World::new(settings(), vec![]);
+        w.now = S;
+        let deadline = w.now + 200 * MS;
+        w.round(&[timed_for(1, 200 * MS)]);
+        w.now += phase;
+        // Timers come up to a millisecond late.
+        while w.refused.is_empty() {
+            w.now += 6 * MS;
+            w.round(&[Event::Timer { token: 0 }]);
+        }
+        assert!(w.now < deadline, "phase {phase}: ended {} us after its time", w.now - deadline);
+    }
+}
+
+fn timed_for(id: u64, time_left: Micros) -> Event {
+    let (id, dest) = (MsgId(id), DestId(1));
+    Event::Message { id, class: FREE, tenant: 0, key: None, dest, time_left, again: false }
+}
