--- a/src/logic.rs
+++ b/src/logic.rs
@@ -51,7 +51,7 @@
 const BATCH_WEIGHT: f64 = 0.25; // weight of a batch's further messages on a cold destination, in calls
 const TIMEOUT: f64 = 4.0; // repeatable messages are waited for this multiple of p99, and at least
 const TIMEOUT_LEAST: f64 = 1.2e6;
-const END_LEAD: Micros = 2; // a message ends this many quanta before its time: rounds are one apart
+const END_LEAD: Micros = 2; // a message ends these quanta before its time: rounds are one apart
 const WINDOW_PART: f64 = 0.45; // an attempt ends after this part of a keyed window, so that a resend fits in
 /// Budget after a refusal as a share of what was accepted; its growth a second and the least of it, as
 /// shares of this sender's own demand, so that senders with more traffic get more.
@@ -734,8 +734,8 @@
         }
     }
 
-    /// When a message's final answer is due: with rounds a quantum apart, before its time in any case. An answer that
-    /// comes after it may count for nothing.
+    /// When a message's final answer is due: with rounds a quantum apart, before its time in any case. An answer
+    /// that comes after it may count for nothing.
     fn due(&self, msg: &Msg) -> Micros {
         msg.deadline - END_LEAD * self.set.quantum
     }
@@ -1046,7 +1046,7 @@
                 }
                 order.sort_by(|a, b| a.0.total_cmp(&b.0));
             }
-            // What an earlier run took on and never tried goes before all else, the shortest time left first.
+            // What an earlier run never tried goes before all else, the shortest time left first.
             order.sort_by_key(|(_, id)| if owed(id) { self.msgs[id].deadline } else { Micros::MAX });
         }
         for (_, id) in &order {
