--- a/src/logic.rs
+++ b/src/logic.rs
@@ -734,8 +734,8 @@
         }
     }
 
-    /// When a message's final answer is due: with rounds a quantum apart, before its time in any case. An answer
-    /// that comes after it may count for nothing.
+    /// When a message's final answer is due: with rounds a quantum apart, before its time in any case. What
+    /// is answered after it may count for nothing.
     fn due(&self, msg: &Msg) -> Micros {
         msg.deadline - END_LEAD * self.set.quantum
     }
