--- a/crates/sender/src/driver.rs
+++ b/crates/sender/src/driver.rs
@@ -338,7 +338,7 @@
         if let Some(live) = &live {
             self.rows.leave(live.row);
         }
-        // The module ends a message up to a quantum early, and looks once a quantum.
+        // The module ends a message up to two quanta early.
         if self.untried.over(id, self.clock.now(), 2 * self.quantum) {
             eprintln!("{}", self.untried);
         }
