Hand-over: waits told to the former process, and its calls that never began; bad lists named

Need: crossings that were open. A connection of the new process that comes up when a wait is told to a call of the former one was written to (the look before the first byte knew only this process's waits); a call that had not begun when its process died was taken for one that may have run, which ends an unsafe message. Lines: `Driver::hear`, `Driver::former_gone`. A whole list that names an endpoint twice is refused with the name, the last good one stays; a status that is not known is logged. `MaxOpen` 1 has a test; guards for all of these.

--- a/crates/protocol/src/listing.rs
+++ b/crates/protocol/src/listing.rs
@@ -1,6 +1,7 @@
 //! The directory's lines: endpoints, and changes to them.
 
 use serde::{Deserialize, Serialize};
+use std::collections::HashSet;
 use std::fmt;
 
 /// A list, or changes to it, as discovery tells them.
@@ -16,6 +17,23 @@
     pub endpoints: Vec<Line>,
 }
 
+impl Listing {
+    /// Reads one that is whole.
+    ///
+    /// # Errors
+    /// Names what is wrong in it. A whole list that names an endpoint twice says nothing certain of it; among changes the
+    /// later one holds.
+    pub fn read(text: &[u8]) -> Result<Self, Flaw> {
+        let list: Listing = serde_json::from_slice(text).map_err(Flaw::Object)?;
+        let mut names = HashSet::new();
+        let twice = list.endpoints.iter().find(|line| list.snapshot && !names.insert(&*line.name));
+        match twice {
+            Some(line) => Err(Flaw::Twice(line.name.clone())),
+            None => Ok(list),
+        }
+    }
+}
+
 /// An endpoint.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Line {
@@ -62,6 +80,8 @@
     Noise(u8, usize),
     /// An object is no listing.
     Object(serde_json::Error),
+    /// A whole list has this name twice.
+    Twice(String),
 }
 
 impl fmt::Display for Flaw {
@@ -71,6 +91,7 @@
                 write!(f, "byte {at} behind the last list is {byte:#04x}, where '{{' is due")
             }
             Flaw::Object(e) => write!(f, "a list can't be read: {e}"),
+            Flaw::Twice(name) => write!(f, "'{name}' stands twice in a whole list"),
         }
     }
 }
@@ -115,7 +136,7 @@
             if self.depth == 0 && !byte.is_ascii_whitespace() {
                 let object: Vec<u8> = self.text.drain(..self.seen).collect();
                 (self.seen, self.passed) = (0, 0);
-                return serde_json::from_slice(&object).map(Some).map_err(Flaw::Object);
+                return Listing::read(&object).map(Some);
             }
         }
         if self.depth == 0 {
@@ -163,6 +184,13 @@
             assert!(matches!(versions(wrong, 3), Err(Flaw::Object(_))), "{wrong}");
         }
         assert!(matches!(versions("[1]", 1), Err(Flaw::Noise(b'[', 1))));
+        let twice = r#"{"index":1,"snapshot":true,"endpoints":[{"name":"a","status":"Ready"},{"name":"a","status":"Gone"}]}"#;
+        assert_eq!(versions(twice, 9).unwrap_err().to_string(), "'a' stands twice in a whole list");
+        assert_eq!(
+            versions(&twice.replace("true", "false"), 9).unwrap(),
+            [1],
+            "changes of one may follow each other"
+        );
         let mut listings = Listings::default();
         listings.extend(b"\n\n{\"ind");
         assert!(listings.next_whole().unwrap().is_none() && listings.is_within());
--- a/crates/sender/src/calls.rs
+++ b/crates/sender/src/calls.rs
@@ -167,7 +167,8 @@
         ready && !waits
     }
 
-    fn learn_wait(&self, lane: Lane, wait: Micros) {
+    /// A wait has been told, by an answer of this process or to a call of the one before it.
+    pub fn learn_wait(&self, lane: Lane, wait: Micros) {
         if wait > 0 {
             let until = Instant::now() + Duration::from_micros(wait as u64);
             let mut waits = self.waits.borrow_mut();
--- a/crates/sender/src/discovery.rs
+++ b/crates/sender/src/discovery.rs
@@ -5,7 +5,7 @@
 use crate::fleet::Fleet;
 use crate::input::Input;
 use bytes::Bytes;
-use embershore_protocol::listing::{Listing, Listings};
+use embershore_protocol::listing::{Flaw, Listing, Listings};
 use http_body_util::{BodyExt, Full};
 use hyper::Request;
 use hyper::body::Incoming;
@@ -129,13 +129,13 @@
             text.extend_from_slice(&bytes);
             within_bounds(text.len())?;
         }
-        Ok(serde_json::from_slice(&text)?)
+        Listing::read(&text).map_err(flawed)
     }
 
     async fn next(&mut self) -> io::Result<Option<Listing>> {
         loop {
             let whole = self.listings.next_whole();
-            if let Some(list) = whole.map_err(|e| io::Error::new(io::ErrorKind::InvalidData, e))? {
+            if let Some(list) = whole.map_err(flawed)? {
                 self.since = Instant::now();
                 return Ok(Some(list));
             }
@@ -154,6 +154,10 @@
     if length > LINE_MOST { Err(io::Error::other("a list is too long")) } else { Ok(()) }
 }
 
+fn flawed(flaw: Flaw) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, flaw)
+}
+
 fn silent<E>(_: E) -> io::Error {
     io::Error::new(io::ErrorKind::TimedOut, "silent")
 }
--- a/crates/sender/src/driver.rs
+++ b/crates/sender/src/driver.rs
@@ -12,7 +12,7 @@
 use crate::clients::Shared;
 use crate::clock::Clock;
 use crate::figures::{Ending, Figures};
-use crate::fleet::Fleet;
+use crate::fleet::{Endpoint, Fleet};
 use crate::input::{Ended, Input, Notice};
 use crate::journal::{Accepted, Journal};
 use crate::rows::Rows;
@@ -469,7 +469,7 @@
                     if let Some(cancel) = call.and_then(|c| self.out.get_mut(&c)).and_then(Option::take) {
                         _ = cancel.send(());
                     } else if let (Some(former), Some(call)) = (&self.former, call)
-                        && former.out.values().any(|c| *c == call)
+                        && former.out.values().any(|(c, _)| *c == call)
                     {
                         _ = former.say.send(Frame::Cancel { call });
                     }
@@ -550,9 +550,7 @@
             });
         }
         let Some((target, addr)) = target.filter(|_| !items.is_empty()) else { return };
-        let kind = self.kinds.get(target.kind);
-        let lane =
-            if kind.is_some_and(|k| k.apart) { Lane::Route(endpoint) } else { Lane::Whole(target.dest) };
+        let lane = self.lane(endpoint, &target);
         let batch = items.len() > 1;
         let timeout = Duration::from_micros(longest.max(1) as u64);
         let order = Order { endpoint, addr, lane, items, batch, timeout };
@@ -588,6 +586,12 @@
         });
     }
 
+    /// What a wait binds that an endpoint tells.
+    fn lane(&self, id: EndpointId, endpoint: &Endpoint) -> Lane {
+        let apart = self.kinds.get(endpoint.kind).is_some_and(|kind| kind.apart);
+        if apart { Lane::Route(id) } else { Lane::Whole(endpoint.dest) }
+    }
+
     fn probe(&mut self, endpoint: EndpointId) {
         let addr = self.fleet.borrow().get(endpoint).and_then(|e| e.addr.filter(|_| e.ready));
         let Some(addr) = addr else {
--- a/crates/sender/src/driver/replace.rs
+++ b/crates/sender/src/driver/replace.rs
@@ -2,12 +2,13 @@
 //! still passes on afterwards.
 
 use super::{Driver, EXIT_AFTER};
+use crate::calls::Lane;
 use crate::handover::{Carried, Link, Lock};
 use crate::input::{Ended, Fate, Input};
 use crate::standing::{Change, Phase};
 use embershore_handover::{Frame, Owner, OwnerDo, OwnerEvent, State};
 use embershore_protocol::resp::Reply;
-use heronroute::{EndpointId, MsgId, OutCall, Outcome};
+use heronroute::{DestId, EndpointId, MsgId, OutCall, Outcome};
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
@@ -31,8 +32,8 @@
 /// The process before this one, while it lives.
 pub(super) struct Former {
     pub(super) say: mpsc::UnboundedSender<Frame>,
-    /// Attempts that it has out, and in which of its calls.
-    pub(super) out: BTreeMap<(MsgId, u32), u64>,
+    /// Attempts that it has out, in which of its calls, and to which endpoint.
+    pub(super) out: BTreeMap<(MsgId, u32), (u64, EndpointId)>,
 }
 
 impl Driver {
@@ -47,9 +48,9 @@
             _ = inputs.send(Input::FormerGone).await;
         });
         self.shared.by_two.set(true);
-        let attempts = out.iter().flat_map(OutCall::messages);
-        let out =
-            attempts.map(|(id, attempt)| ((id, attempt), in_call.get(&id).copied().unwrap_or(u64::MAX)));
+        let attempts = out.iter().flat_map(|call| call.messages().map(|attempt| (attempt, call.endpoint())));
+        let number = |id: MsgId| in_call.get(&id).copied().unwrap_or(u64::MAX);
+        let out = attempts.map(|(attempt, endpoint)| (attempt, (number(attempt.0), endpoint)));
         Former { say, out: out.collect() }
     }
 
@@ -67,7 +68,16 @@
                 self.put(put, reply);
             }
             Frame::Ended { call, fates, elapsed, wait, report } => {
-                fates.iter().for_each(|f| _ = former.out.remove(&(f.id, f.attempt)));
+                let gone = fates.iter().map(|f| former.out.remove(&(f.id, f.attempt)));
+                let endpoint = gone.flatten().map(|(_, endpoint)| endpoint).last();
+                // Connections of this process that are coming up have not heard of it.
+                let (fleet, journal) = (self.fleet.borrow(), self.journal.borrow());
+                let listed = endpoint.and_then(|id| Some(self.lane(id, fleet.get(id)?)));
+                let dest = || Some(journal.get(fates.first()?.id.0)?.accepted.dest);
+                if let Some(lane) = listed.or_else(|| Some(Lane::Whole(DestId(dest()?)))) {
+                    self.calls.learn_wait(lane, wait);
+                }
+                drop((fleet, journal));
                 self.ended(call, Ended { endpoint: EndpointId(u32::MAX), fates, elapsed, wait, report });
             }
             _ => {}
@@ -82,7 +92,7 @@
         // What had not begun when the journal was given away could not begin after that.
         let begun = |id: MsgId| journal.get(id.0).is_none_or(|entry| entry.progress.out.is_some());
         let fate = |(id, attempt)| {
-            let outcome = if begun(id) { Outcome::Cancelled } else { Outcome::Unreached };
+            let outcome = if begun(id) { Outcome::Cancelled } else { Outcome::Skipped };
             Fate { id, attempt, outcome, over: false }
         };
         let fates: Vec<Fate> = former.out.into_keys().map(fate).collect();
--- a/crates/sender/src/fleet.rs
+++ b/crates/sender/src/fleet.rs
@@ -100,8 +100,12 @@
         let status = match line.status.as_str() {
             "Ready" => Status::Up,
             "Gone" => Status::Removed,
-            // `Terminating`, and what is not known yet: nothing new goes there.
-            _ => Status::Draining,
+            "Terminating" => Status::Draining,
+            // Nothing new goes where it is not known to be welcome; the rest of the list is good.
+            other => {
+                eprintln!("discovery: '{}' has the status '{other}', taken for Terminating", line.name);
+                Status::Draining
+            }
         };
         let index = |names: &[String], name: &str| names.iter().position(|n| n == name).unwrap_or(usize::MAX);
         let (kind, zone) = (index(&self.names.kinds, &line.kind), index(&self.names.zones, &line.zone));
--- a/crates/sender/tests/common/mod.rs
+++ b/crates/sender/tests/common/mod.rs
@@ -705,3 +705,48 @@
         _ = self.0.1.wait_timeout_while(guard, LIMIT, |open| !*open).unwrap();
     }
 }
+
+/// An endpoint whose backlog is full: a connection to it comes up only once others are taken off.
+pub struct Crammed {
+    listener: TcpListener,
+    pub addr: SocketAddr,
+    pub fillers: Vec<TcpStream>,
+    taken: Vec<TcpStream>,
+    /// What came on the connections that were taken off.
+    pub calls: Vec<String>,
+}
+
+impl Crammed {
+    pub fn new() -> Self {
+        let listener = backlog_of_none();
+        let addr = listener.local_addr().unwrap();
+        let filler = |_| TcpStream::connect_timeout(&addr, Duration::from_millis(100)).ok();
+        let fillers = (0..8).filter_map(filler).collect();
+        listener.set_nonblocking(true).unwrap();
+        Crammed { listener, addr, fillers, taken: Vec::new(), calls: Vec::new() }
+    }
+
+    /// Takes a connection off, if one has come, and reads what there is.
+    pub fn serve(&mut self) {
+        if let Ok((stream, _)) = self.listener.accept() {
+            stream.set_nonblocking(true).unwrap();
+            self.taken.push(stream);
+        }
+        for stream in &mut self.taken {
+            let mut buf = [0; 2048];
+            if let Ok(n @ 1..) = stream.read(&mut buf) {
+                self.calls.push(String::from_utf8_lossy(&buf[..n]).into_owned());
+            }
+        }
+    }
+}
+
+fn backlog_of_none() -> TcpListener {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let _entered = runtime.enter();
+    let socket = tokio::net::TcpSocket::new_v4().unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let listener = socket.listen(0).unwrap().into_std().unwrap();
+    listener.set_nonblocking(false).unwrap();
+    listener
+}
--- a/crates/sender/tests/crossings.rs
+++ b/crates/sender/tests/crossings.rs
@@ -314,3 +314,39 @@
     sleep(Duration::from_millis(100));
     assert_eq!(scripted.times("/reports").len(), 6, "each was confirmed by its first answer");
 }
+
+#[test]
+fn a_line_that_cannot_be_read_ends_the_watch_and_what_was_learnt_stays() {
+    for wrong in [
+        "x",
+        "{\"index\":9,\"endpoints\":[{\"name\":3}]}",
+        "{\"index\":9,\"snapshot\":true,\"endpoints\":[TWICE]}",
+    ] {
+        let endpoint = Endpoint::new(|_| status(200));
+        let list = move |index: u64, whole: bool, lines: Vec<serde_json::Value>| {
+            json!({"index": index, "snapshot": whole, "endpoints": lines}).to_string()
+        };
+        let state = move |state: &str| line("s-1", endpoint.addr, "one", 3, state);
+        let scripted = Scripted::new(move |request, before, stream| {
+            if !request.line.contains("follow") {
+                // Asked again, it says nothing.
+                if before == 0 {
+                    answer(stream, 200, &list(7, true, vec![state("Ready")]));
+                }
+            } else if before == 0 {
+                begin(stream);
+                piece(stream, &format!("{}\n", list(8, false, vec![state("Terminating")])));
+                let twice = format!("{0},{0}", state("Ready"));
+                piece(stream, &format!("{}\n", wrong.replace("TWICE", &twice)));
+            }
+        });
+        let platform = Platform::new(Vec::new());
+        let sender = Sender::with(&platform, |c| c["discovery"] = scripted.addr.to_string().into());
+        wait_until("the drain", || sender.journal_holds("s-1"));
+        wait_until("the whole list to be asked for", || scripted.times("/v1/servers").len() > 1);
+        let mut client = sender.client();
+        assert_eq!(client.put("a1", SYNC), "+OK");
+        sleep(Duration::from_millis(100));
+        assert!(endpoint.sent().is_empty(), "{wrong}");
+    }
+}
--- a/crates/sender/tests/handover.rs
+++ b/crates/sender/tests/handover.rs
@@ -181,6 +181,53 @@
     assert!(since.elapsed() >= Duration::from_millis(2400), "{:?}", since.elapsed());
 }
 
+#[test]
+fn a_wait_told_to_the_first_process_stops_a_connection_of_the_next_that_is_coming_up() {
+    let gate = Gate::default();
+    let waits = gate.clone();
+    let (endpoint, platform, mut held) = one(move |_| {
+        waits.wait();
+        Act::Answer(429, vec![("x-retry-in-ms", "2500".to_string())], String::new())
+    });
+    assert_eq!(held.client().put("a1", PAY), "+OK");
+    wait_until("the call", || std::fs::read(held.folder.path().join("state/journal")).unwrap().len() > 100);
+    held.start();
+    held.wait_ready(1);
+    let mut other = Crammed::new();
+    platform.tell(false, vec![line("s-1", endpoint.addr, "one", 3, "Terminating")]);
+    platform.tell(false, vec![line("s-2", other.addr, "one", 3, "Ready")]);
+    wait_until("a client", || held.client().put("b1", SYNC) == "+OK");
+    // Its connection is on its way. The first process ends once it has passed on what its call was told.
+    thread::sleep(Duration::from_millis(150));
+    let told = Instant::now();
+    gate.open();
+    assert!(held.wait_exit(0).success());
+    while other.calls.is_empty() && told.elapsed() < LIMIT {
+        other.serve();
+        thread::sleep(Duration::from_millis(1));
+    }
+    assert!(!other.calls.is_empty() && told.elapsed() >= Duration::from_millis(2400), "{:?}", told.elapsed());
+}
+
+#[test]
+fn what_had_not_begun_in_a_process_that_dies_has_not_run() {
+    let mut crammed = Crammed::new();
+    let platform = Platform::new(vec![line("s-1", crammed.addr, "one", 3, "Ready")]);
+    let mut held = Held::new(&platform);
+    held.start();
+    held.wait_ready(0);
+    assert_eq!(held.client().put("a1", PAY), "+OK");
+    thread::sleep(Duration::from_millis(50));
+    held.start();
+    held.wait_ready(1);
+    held.signal(0, "-KILL");
+    wait_until("the call", || {
+        crammed.serve();
+        crammed.calls.concat().contains("a1")
+    });
+    assert!(platform.notices().is_empty(), "{:?}", platform.notices());
+}
+
 #[test]
 fn a_command_cut_at_any_byte_across_the_replacement_gets_one_answer() {
     let (endpoint, _platform, mut held) = one(|_| status(200));
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -328,3 +328,10 @@
     let (id, dest) = (MsgId(id), DestId(1));
     Event::Message { id, class: FREE, tenant: 0, key: None, dest, time_left, again: false }
 }
+
+#[test]
+fn a_sender_that_may_hold_one_message_serves_it() {
+    let mut w = World::new(Settings { max_open: 1, ..settings() }, vec![entry(1, 1, 0)]);
+    assert_eq!(w.round(&[message(1, FREE, 1)]).len(), 1);
+    assert!(w.refused.is_empty());
+}
