--- a/crates/sender/src/daemon.rs
+++ b/crates/sender/src/daemon.rs
@@ -218,6 +218,12 @@
     let var = |name: &str| std::env::var(name).map_err(|_| format!("{name} is not set"));
     let path = PathBuf::from(var("LB_CONFIG")?);
     let (config, running) = Config::read_with_value(&path)?;
+    // Before a client can connect: one whose connection ends with no answer has lost its message.
+    let names = config.settings.names();
+    let connect_timeout = config.settings.connect_timeout().filter(|t| *t > 0).unwrap_or(CONNECT_TIMEOUT);
+    let ask_every = config.settings.ask_every().map(|every| Duration::from_micros(every.max(0) as u64));
+    let mut settings = config.settings.settings();
+    settings.validate().map_err(|e| format!("{}: {}", path.display(), in_the_file(&e)))?;
     let state = PathBuf::from(var("LB_STATE")?);
     let open_journal = || {
         journal::Journal::open(&state, (config.limits.disk_mb * 1e6) as u64)
@@ -232,11 +238,6 @@
         Some(socket) => Way::Held(socket),
     };
 
-    let names = config.settings.names();
-    let connect_timeout = config.settings.connect_timeout().filter(|t| *t > 0).unwrap_or(CONNECT_TIMEOUT);
-    let ask_every = config.settings.ask_every().map(|every| Duration::from_micros(every.max(0) as u64));
-    let mut settings = config.settings.settings();
-    settings.validate().map_err(|e| format!("{}: {}", path.display(), in_the_file(&e)))?;
     // The module is to know for how long a connection really is kept: it takes the one that has rested longest.
     settings.idle_close = (settings.idle_close.max(0) as f64 * calls::KEPT_PART) as i64;
     let fleet = Rc::new(RefCell::new(fleet::Fleet::new(names.clone())));
