What was only refused before a restart is owed a call too; figures of found and called

Need: untried means no call has begun, or only ones that surely never ran; the module owed a call to the first kind alone, so that the second could be shed by a full hold right after a start. Change: `Msg::owed` for all that has surely not run; `untried.rs` counts a call that began since the start. The random histories count calls by process and hold the module to it.

--- a/crates/sender/src/crossings.rs
+++ b/crates/sender/src/crossings.rs
@@ -138,7 +138,7 @@
     /// First bytes of calls whose effect is not known to be none, each with whether it has run.
     tries: Vec<Micros>,
     runs: usize,
-    /// Calls that have begun.
+    /// Calls that have begun in this process.
     calls: usize,
     delivered: bool,
     /// This process has heard so. One that is killed as it writes it down may not know it any more.
@@ -522,7 +522,7 @@
         self.now += away;
         let journal = Journal::open(self.folder.path(), DISK).unwrap();
         for t in self.truth.values_mut() {
-            (t.found, t.over) = (None, false);
+            (t.found, t.over, t.calls) = (None, false, 0);
         }
         let now = self.now;
         let mut process = Process::start(journal, now, &self.listed);
@@ -542,7 +542,7 @@
                 t
             );
             // What was written and not promised is the sender's own all the same: its client got no answer.
-            if progress.attempts == 0 {
+            if progress.unknown().is_none() && progress.attempts < ATTEMPTS {
                 t.found = Some(now);
             }
             let number = |name: &str| EndpointId(name[2..].parse().unwrap());
--- a/crates/sender/src/driver.rs
+++ b/crates/sender/src/driver.rs
@@ -351,8 +351,8 @@
 
     /// What a restart found untried is tried once a call of it has begun.
     fn tell_called(&mut self, id: MsgId) {
-        let begun = self.journal.borrow().get(id.0).is_some_and(|entry| entry.progress.attempts > 0);
-        if begun && self.untried.call(id) {
+        let begun = self.journal.borrow().get(id.0).map_or(0, |entry| entry.progress.attempts);
+        if self.untried.call(id, begun) {
             eprintln!("{}", self.untried);
         }
     }
--- a/crates/sender/src/driver/start.rs
+++ b/crates/sender/src/driver/start.rs
@@ -140,8 +140,8 @@
                 }
                 .map(|(name, at)| (number(name), *at)),
             });
-            if attempts == 0 && progress.unknown().is_none() {
-                self.untried.found(MsgId(id), message.deadline, now);
+            if progress.unknown().is_none() {
+                self.untried.found(MsgId(id), message.deadline, progress.attempts, now);
             }
             self.by_request.insert(request_id, MsgId(id));
             self.rows.enter(row);
--- a/crates/sender/src/driver/untried.rs
+++ b/crates/sender/src/driver/untried.rs
@@ -1,15 +1,16 @@
-//! What a restart finds taken on and untried, and what becomes of it: each is still to get a call while its time
-//! lasts. Told in the log once the last of them has got one or is over.
+//! What a restart finds taken on and untried (also by attempts that surely never ran), and what becomes of it: each is
+//! still to get a call while its time lasts. Told in the log once the last of them has got one or is over.
 
 use heronroute::{Micros, MsgId};
 use std::collections::BTreeMap;
 use std::fmt;
 
-/// The messages that wait for their first call since the start, with the end of each one's time; and how many of the
+/// The messages that wait for their first call since the start, with the end of each one's time and the calls that had
+/// begun before; and how many of the
 /// others fared how. Bounded by what the journal held.
 #[derive(Debug, Default, PartialEq)]
 pub(super) struct Untried {
-    waiting: BTreeMap<MsgId, Micros>,
+    waiting: BTreeMap<MsgId, (Micros, u32)>,
     /// Over before this process began.
     late: usize,
     called: usize,
@@ -21,24 +22,27 @@
 
 impl Untried {
     /// One was found at the start.
-    pub(super) fn found(&mut self, id: MsgId, deadline: Micros, now: Micros) {
+    pub(super) fn found(&mut self, id: MsgId, deadline: Micros, begun: u32, now: Micros) {
         if deadline > now {
-            self.waiting.insert(id, deadline);
+            self.waiting.insert(id, (deadline, begun));
         } else {
             self.late += 1;
         }
     }
 
-    /// A call of a message has begun. Whether it was the last that waited.
-    pub(super) fn call(&mut self, id: MsgId) -> bool {
-        let waited = self.waiting.remove(&id).is_some();
+    /// So many calls of a message have begun in all. Whether it was the last that waited for one.
+    pub(super) fn call(&mut self, id: MsgId, begun: u32) -> bool {
+        let waited = self.waiting.get(&id).is_some_and(|(_, before)| begun > *before);
+        if waited {
+            self.waiting.remove(&id);
+        }
         self.called += usize::from(waited);
         waited && self.waiting.is_empty()
     }
 
     /// A message is over; `slack` is how long before its time that may be. Whether it was the last that waited.
     pub(super) fn over(&mut self, id: MsgId, now: Micros, slack: Micros) -> bool {
-        let Some(deadline) = self.waiting.remove(&id) else { return false };
+        let Some((deadline, _)) = self.waiting.remove(&id) else { return false };
         if deadline - now <= slack {
             self.expired += 1
         } else {
@@ -74,10 +78,15 @@
         let mut u = Untried::default();
         assert!(!u.any());
         for (id, deadline) in [(1, 5), (2, 100), (3, 100), (4, 100)] {
-            u.found(MsgId(id), deadline, 10);
+            u.found(MsgId(id), deadline, 2, 10);
         }
         assert!(
-            !u.call(MsgId(2)) && !u.call(MsgId(2)) && !u.over(MsgId(2), 20, 0) && !u.over(MsgId(9), 20, 0)
+            !u.call(MsgId(2), 2)
+                && u.waiting.len() == 3
+                && !u.call(MsgId(2), 3)
+                && !u.call(MsgId(2), 4)
+                && !u.over(MsgId(2), 20, 0)
+                && !u.over(MsgId(9), 20, 0)
         );
         assert!(!u.over(MsgId(3), 95, 5));
         assert!(u.over(MsgId(4), 94, 5));
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -160,7 +160,7 @@
             Event::Restored { id, class, key, dest, time_left, attempts, unreached, may_have_run } => {
                 let (class, key, dest, attempts) = (*class, key.clone(), *dest, *attempts);
                 let may_run = may_have_run.map(|(at, sent)| (sent, at));
-                let owed = attempts == 0 && may_run.is_none() && !self.succeeds;
+                let owed = may_run.is_none() && !self.succeeds;
                 let unreached = *unreached;
                 let msg = Msg { class, key, dest, attempts, unreached, may_run, owed, ..Msg::default() };
                 self.restore(*id, msg, *time_left, out);
--- a/src/state.rs
+++ b/src/state.rs
@@ -147,7 +147,7 @@
     pub(crate) may_run: Option<(Micros, EndpointId)>,
     pub(crate) avoid: Option<EndpointId>,
     pub(crate) closed: bool,
-    /// An earlier run took it on, and no call of it has begun to this moment: it is still to get one.
+    /// An earlier run took it on and it has surely not run, and no call of it has begun since: it is still to get one.
     pub(crate) owed: bool,
 }
 
--- a/tests/restart.rs
+++ b/tests/restart.rs
@@ -186,6 +186,17 @@
     }
 }
 
+/// What was refused before the restart has surely not run: it is owed a call as what was never sent is.
+#[test]
+fn what_was_only_refused_before_a_restart_is_not_shed() {
+    let mut w = World::new(settings(), vec![]);
+    let events: Vec<Event> = (0..100).map(|i| restored(i, FREE, 2, None)).collect();
+    w.round(&events);
+    assert_eq!((w.refused.len(), w.failed.len()), (0, 0));
+    w.round(&[message(200, FREE, 1)]);
+    assert_eq!(w.refused, [200], "what is new gives way");
+}
+
 /// Seen on days with restarts: of the messages found for a receiver that takes few, the late ones waited behind newer
 /// ones that had more to lose, until their time was up.
 #[test]
