Split the scenario module into one module for each table of the file

Cause: crates/rehearsal/src/scenario.rs held the file format, the checks and the checked scenario of every table in 1,010 lines. Change: scenario/ has a module for each table (rules, settings, class, tenant, receiver, sender, traffic) with its format and its check, and one each for the whole file, the defaults, the checks' findings and another number of senders. Public paths are as before, by re-exports.

--- /dev/null
+++ b/crates/rehearsal/src/scenario/mod.rs
@@ -0,0 +1,194 @@
+//! A scenario: the file in which an operator describes an evening. It is read and checked whole before anything
+//! starts, and every finding names line, column and the mend.
+
+mod checks;
+mod class;
+mod defaults;
+mod file;
+mod receiver;
+mod rules;
+mod sender;
+mod settings;
+mod split;
+mod tenant;
+mod traffic;
+
+pub use class::Class;
+pub use receiver::{ENDPOINTS_MOST, Kind, Latency, Limit, Receiver};
+pub use sender::{SENDERS_MOST, Sender};
+pub use settings::{Clients, Directory, Network, SenderSettings};
+pub use split::SplitError;
+
+use crate::event::{Known, RawEvent};
+use crate::facts::Facts;
+use crate::plan::Traffic;
+use crate::span::Micros;
+use checks::{Checks, share};
+use class::classes;
+use embershore_finding::{Finding, Findings};
+use file::Raw;
+use receiver::receivers;
+use rules::rules;
+use sender::senders;
+use std::collections::BTreeSet;
+use std::path::{Path, PathBuf};
+use tenant::tenants;
+use toml::Spanned;
+use traffic::traffic;
+
+/// A scenario's file is no longer than this; shipped ones have 3 KiB.
+const FILE_MOST: u64 = 4 << 20;
+
+/// A scenario that can't be played.
+#[derive(Debug, thiserror::Error)]
+pub enum ScenarioError {
+    /// The file can't be read.
+    #[error("{}: {error}", path.display())]
+    Io {
+        /// Which file.
+        path: PathBuf,
+        /// Why.
+        error: std::io::Error,
+    },
+    /// What stands in it is wrong; nothing has been started.
+    #[error("{}", Findings { name, findings })]
+    Wrong {
+        /// The file, or the shipped scenario's name.
+        name: String,
+        /// All that was found.
+        findings: Vec<Finding>,
+    },
+}
+
+/// A scenario that has been checked.
+#[derive(Clone, Debug)]
+pub struct Scenario {
+    /// What it is about, in a line.
+    pub about: String,
+    /// What a verdict depends on.
+    pub facts: Facts,
+    /// The buildings.
+    pub network: Network,
+    /// What senders are told.
+    pub settings: SenderSettings,
+    /// The directory.
+    pub directory: Directory,
+    /// How clients behave.
+    pub clients: Clients,
+    /// Classes, in the order of the facts'.
+    pub classes: Vec<Class>,
+    /// Each tenant's share of the traffic, in the order of the facts'.
+    pub tenant_shares: Vec<f64>,
+    /// Kinds of receiver.
+    pub kinds: Vec<Kind>,
+    /// Receivers, in the order of the facts'.
+    pub receivers: Vec<Receiver>,
+    /// Senders, in the order of the facts'.
+    pub senders: Vec<Sender>,
+    /// What is handed in.
+    pub traffic: Vec<Traffic>,
+    /// What happens, by time.
+    pub events: Vec<(Micros, RawEvent)>,
+}
+
+impl Scenario {
+    /// Reads a scenario from a file; traces that it names are looked for beside it.
+    ///
+    /// # Errors
+    /// The file can't be read, or all that is wrong in it.
+    pub fn read(path: &Path) -> Result<Scenario, ScenarioError> {
+        let io = |error| ScenarioError::Io { path: path.into(), error };
+        let text = embershore_finding::read(path, FILE_MOST, "a scenario").map_err(io)?;
+        let folder = path.parent().unwrap_or(Path::new("."));
+        Scenario::parse(&path.display().to_string(), &text, folder)
+    }
+
+    /// Reads a scenario from its text. `name` is for messages.
+    ///
+    /// # Errors
+    /// All that is wrong in it.
+    pub fn parse(name: &str, text: &str, folder: &Path) -> Result<Scenario, ScenarioError> {
+        let wrong = |findings| ScenarioError::Wrong { name: name.into(), findings };
+        let raw: Raw = toml::from_str(text).map_err(|e| wrong(vec![Finding::of(text, &e)]))?;
+        let mut checks = Checks { text, findings: Vec::new() };
+        let scenario = build(raw, &mut checks, folder);
+        if checks.findings.is_empty() { Ok(scenario) } else { Err(wrong(checks.findings)) }
+    }
+}
+
+fn build(raw: Raw, c: &mut Checks<'_>, folder: &Path) -> Scenario {
+    let length = raw.length.get_ref().0;
+    c.whether(length >= 1_000_000, raw.length.span(), "'length' is at least 1s");
+    let rules = rules(&raw.rules, c);
+    let zones = &raw.network.value.zones;
+    c.whether(!zones.is_empty(), raw.network.span.clone(), "'zones' names at least one building");
+    let (clients, at) = (raw.clients.value, &raw.clients.span);
+    for (what, value) in
+        [("honour", clients.honour), ("pipeline", clients.pipeline), ("leave", clients.leave)]
+    {
+        c.whether(share(value), at.clone(), format!("'{what}' is from 0 to 1"));
+    }
+    c.whether(clients.retries <= 10, at.clone(), "'retries' is 10 at most");
+
+    let kind_names: Vec<String> = raw.kind.iter().map(|k| k.get_ref().name.clone()).collect();
+    let mut seen = BTreeSet::new();
+    for kind in &raw.kind {
+        let new = seen.insert(kind.get_ref().name.clone());
+        c.whether(new, kind.span(), format!("a second kind '{}'; name it otherwise", kind.get_ref().name));
+        let fits = (1..=100).contains(&kind.get_ref().batch);
+        c.whether(fits, kind.span(), "'batch' is from 1 to 100");
+    }
+    let (classes, class_facts) = classes(&raw, c, &kind_names);
+    let (tenant_shares, tenants) = tenants(&raw, c);
+    let (receivers, receiver_facts) = receivers(&raw, c, &kind_names);
+    let traffic = traffic(&raw, c, length, folder);
+    let rate = traffic.iter().map(|t| t.mean_rate(length)).sum::<f64>();
+    let busy: f64 = {
+        let shares: f64 = receivers.iter().map(|r| r.share).sum();
+        let mean = receivers.iter().map(|r| r.share * r.latency.mean()).sum::<f64>();
+        if shares > 0.0 { mean / shares } else { 0.15 }
+    };
+    let (senders, sender_facts) = senders(&raw, c, rate, busy);
+
+    let numbers: Vec<i64> = receivers.iter().map(|r| r.number).collect();
+    let names: Vec<String> = sender_facts.iter().map(|s| s.name.clone()).collect();
+    let mut events: Vec<(Micros, RawEvent)> = Vec::new();
+    for event in &raw.event {
+        let known = Known { receivers: &numbers, senders: &names };
+        let mut wrong = event.get_ref().wrong(known);
+        match event.get_ref().at {
+            None => wrong.push("an event on the timeline needs 'at'; say when, such as at = \"20s\"".into()),
+            Some(at) if at.0 > length => {
+                wrong.push("'at' lies after the end; move it, or make 'length' longer".into())
+            }
+            Some(at) => events.push((at.0, event.get_ref().clone())),
+        }
+        wrong.into_iter().for_each(|w| c.at(event.span(), w));
+    }
+    events.sort_by_key(|(at, _)| *at);
+    Scenario {
+        about: raw.about,
+        facts: Facts {
+            scenario: raw.name,
+            seed: raw.seed,
+            length,
+            rules,
+            over_share_worth: raw.settings.over_share_worth,
+            classes: class_facts,
+            tenants,
+            receivers: receiver_facts,
+            senders: sender_facts,
+        },
+        network: raw.network.value,
+        settings: raw.settings,
+        directory: raw.directory,
+        clients,
+        classes,
+        tenant_shares,
+        kinds: raw.kind.into_iter().map(Spanned::into_inner).collect(),
+        receivers,
+        senders,
+        traffic,
+        events,
+    }
+}
--- /dev/null
+++ b/crates/rehearsal/src/scenario/rules.rs
@@ -0,0 +1,49 @@
+//! The `[rules]` table: figures of the six rules.
+
+use super::checks::{Checks, positive, share};
+use super::file::Section;
+use crate::facts;
+use crate::span::Span;
+use serde::Deserialize;
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub(super) struct RawRules {
+    drain_grace: Span,
+    fall_multiple: f64,
+    fall_window: Span,
+    max_attempts: u32,
+    second_copies: bool,
+    batch_weight: f64,
+}
+
+impl Default for RawRules {
+    fn default() -> Self {
+        let (drain_grace, fall_window) = (Span::ms(1000), Span::ms(2000));
+        RawRules {
+            drain_grace,
+            fall_multiple: 2.0,
+            fall_window,
+            max_attempts: 6,
+            second_copies: false,
+            batch_weight: 0.25,
+        }
+    }
+}
+
+/// Checks the figures of the rules.
+pub(super) fn rules(raw: &Section<RawRules>, c: &mut Checks<'_>) -> facts::Rules {
+    let (r, at) = (&raw.value, &raw.span);
+    c.whether(positive(r.fall_multiple), at.clone(), "'fall_multiple' is above 0");
+    c.whether(r.fall_window.0 > 0, at.clone(), "'fall_window' is above 0s");
+    c.whether(share(r.batch_weight), at.clone(), "'batch_weight' is from 0 to 1");
+    c.whether(r.max_attempts > 0, at.clone(), "'max_attempts' is 1 or more");
+    facts::Rules {
+        drain_grace: r.drain_grace.0,
+        fall_multiple: r.fall_multiple,
+        fall_window: r.fall_window.0,
+        max_attempts: r.max_attempts,
+        second_copies: r.second_copies,
+        batch_weight: r.batch_weight,
+    }
+}
