Scenario checks: short functions, named constants, one look-up of names

Cause: the checks of a scenario stood in functions of up to 100 lines, with numbers of unsaid meaning and three copies of the look-up of a table by its name. Change: each table checks itself in functions of a few lines; kinds have a module; Checks::index looks a name up for classes, receivers and traffic alike; defaults and bounds are named constants.

--- a/crates/rehearsal/src/scenario/class.rs
+++ b/crates/rehearsal/src/scenario/class.rs
@@ -1,10 +1,11 @@
 //! The `[[class]]` tables: what kinds of messages there are.
 
-use super::checks::{Checks, share};
+use super::checks::{Checks, not_negative, share};
 use super::defaults;
 use super::file::Raw;
 use crate::facts::{self, Effect};
-use crate::span::Span;
+use crate::span::{Micros, Span};
+use embershore_protocol::resp::BODY_MOST;
 use serde::Deserialize;
 use std::collections::BTreeSet;
 use toml::Spanned;
@@ -48,6 +49,13 @@
     pub size: [u32; 2],
 }
 
+/// Bytes of a body, from and to, where a class does not say.
+const SIZE: [u32; 2] = [120, 400];
+/// Things that the messages of a class are about, where it does not say.
+const ORDER_KEYS: u32 = 20;
+/// How long a key of an ordered class rests after an attempt that may still run, where it does not say: 1 s.
+const ORDER_SETTLE: Micros = 1_000_000;
+
 /// Checks the classes.
 pub(super) fn classes(raw: &Raw, c: &mut Checks<'_>, kinds: &[String]) -> (Vec<Class>, Vec<facts::Class>) {
     let list = raw.class.get_ref();
@@ -55,62 +63,80 @@
     let mut seen = BTreeSet::new();
     let (mut classes, mut figures) = (Vec::new(), Vec::new());
     for class in list {
-        let (name, at) = (class.name.get_ref(), class.name.span());
-        c.whether(seen.insert(name), at.clone(), format!("a second class '{name}'; name it otherwise"));
+        let name = class.name.get_ref();
+        c.whether(
+            seen.insert(name),
+            class.name.span(),
+            format!("a second class '{name}'; name it otherwise"),
+        );
+        classes.push(class.check(c, kinds));
+        figures.push(class.figures());
+    }
+    let any = classes.iter().any(|class| class.share > 0.0);
+    c.whether(any || list.is_empty(), raw.class.span(), "no class has a share of the traffic; give one");
+    (classes, figures)
+}
+
+impl RawClass {
+    fn check(&self, c: &mut Checks<'_>, kinds: &[String]) -> Class {
+        let (name, at) = (self.name.get_ref(), self.name.span());
         let plain = !name.is_empty() && name.bytes().all(|b| b.is_ascii_graphic() && b != b',' && b != b'=');
         c.whether(plain, at.clone(), "a name is plain text with no blanks, commas or equals signs");
-        c.whether(class.share.is_finite() && class.share >= 0.0, at.clone(), "'share' is 0 or more");
-        c.whether(class.worth.is_finite() && class.worth >= 0.0, at.clone(), "'worth' is 0 or more");
-        c.whether(share(class.late_share), at.clone(), "'late_share' is from 0 to 1");
-        let deadline = class.deadline.get_ref().0;
-        c.whether(deadline > 0, class.deadline.span(), "'deadline' is above 0s");
+        c.whether(not_negative(self.share), at.clone(), "'share' is 0 or more");
+        c.whether(not_negative(self.worth), at.clone(), "'worth' is 0 or more");
+        c.whether(share(self.late_share), at.clone(), "'late_share' is from 0 to 1");
+        self.check_times(c);
+        let kinds =
+            self.kinds.iter().flatten().filter_map(|kind| c.index(kind, kinds.iter(), "kind")).collect();
+        let size = self.checked_size(c);
+        let keyed = self.order_keys.is_some() || self.order_settle.is_some();
         c.whether(
-            class.aim.0 <= deadline,
-            class.deadline.span(),
-            "'deadline' is shorter than 'aim'; make it longer",
+            self.ordered || !keyed,
+            at,
+            "'order_keys' and 'order_settle' mean something with ordered = true only",
         );
-        match (&class.window, class.effect) {
+        let order_keys = self.order_keys.unwrap_or(ORDER_KEYS).max(1);
+        Class { share: self.share, order_keys, kinds, size }
+    }
+
+    fn check_times(&self, c: &mut Checks<'_>) {
+        let (deadline, at) = (self.deadline.get_ref().0, self.deadline.span());
+        c.whether(deadline > 0, at.clone(), "'deadline' is above 0s");
+        c.whether(self.aim.0 <= deadline, at, "'deadline' is shorter than 'aim'; make it longer");
+        match (&self.window, self.effect) {
             (None, Effect::Keyed) => {
-                c.at(at.clone(), "a keyed class needs 'window', for how long its keys are remembered")
+                c.at(self.name.span(), "a keyed class needs 'window', for how long its keys are remembered");
             }
-            (Some(w), Effect::Safe | Effect::Unsafe) => {
+            (Some(window), Effect::Safe | Effect::Unsafe) => {
                 c.at(
-                    w.span(),
+                    window.span(),
                     "'window' means something in a keyed class only; leave it out, or say effect = \"keyed\"",
                 );
             }
             _ => {}
         }
-        let mut of = Vec::new();
-        for kind in class.kinds.iter().flatten() {
-            match kinds.iter().position(|k| k == kind.get_ref()) {
-                Some(n) => of.push(n),
-                None => c.at(kind.span(), format!("there is no kind '{}'; add a [[kind]]", kind.get_ref())),
-            }
-        }
-        let size = class.size.as_ref().map_or([120, 400], |s| *s.get_ref());
-        if let Some(s) = &class.size {
-            let fits = size[0] <= size[1] && size[1] as usize <= embershore_protocol::resp::BODY_MOST;
-            c.whether(fits, s.span(), "'size' is [from, to], and 65536 bytes at most");
-        }
-        if !class.ordered && (class.order_keys.is_some() || class.order_settle.is_some()) {
-            c.at(at, "'order_keys' and 'order_settle' mean something with ordered = true only");
+    }
+
+    fn checked_size(&self, c: &mut Checks<'_>) -> [u32; 2] {
+        let Some(given) = &self.size else { return SIZE };
+        let size = *given.get_ref();
+        let fits = size[0] <= size[1] && size[1] as usize <= BODY_MOST;
+        c.whether(fits, given.span(), "'size' is [from, to], and 65536 bytes at most");
+        size
+    }
+
+    fn figures(&self) -> facts::Class {
+        let order_settle = if self.ordered { ORDER_SETTLE } else { 0 };
+        facts::Class {
+            name: self.name.get_ref().clone(),
+            effect: self.effect,
+            window: self.window.as_ref().map_or(0, |w| w.get_ref().0),
+            aim: self.aim.0,
+            deadline: self.deadline.get_ref().0,
+            worth: self.worth,
+            late_share: self.late_share,
+            ordered: self.ordered,
+            order_settle: self.order_settle.map_or(order_settle, |s| s.0),
         }
-        let order_keys = class.order_keys.unwrap_or(20).max(1);
-        classes.push(Class { share: class.share, order_keys, kinds: of, size });
-        figures.push(facts::Class {
-            name: name.clone(),
-            effect: class.effect,
-            window: class.window.as_ref().map_or(0, |w| w.get_ref().0),
-            aim: class.aim.0,
-            deadline,
-            worth: class.worth,
-            late_share: class.late_share,
-            ordered: class.ordered,
-            order_settle: class.order_settle.map_or(if class.ordered { 1_000_000 } else { 0 }, |s| s.0),
-        });
     }
-    let any = classes.iter().any(|class| class.share > 0.0);
-    c.whether(any || list.is_empty(), raw.class.span(), "no class has a share of the traffic; give one");
-    (classes, figures)
 }
--- a/crates/rehearsal/src/scenario/file.rs
+++ b/crates/rehearsal/src/scenario/file.rs
@@ -1,7 +1,8 @@
 //! The whole file as it is written, before anything of it has been checked.
 
 use super::class::RawClass;
-use super::receiver::{Kind, RawReceiver};
+use super::kind::Kind;
+use super::receiver::RawReceiver;
 use super::rules::RawRules;
 use super::sender::RawSender;
 use super::settings::{Clients, Directory, Network, SenderSettings};
--- a/crates/rehearsal/src/scenario/mod.rs
+++ b/crates/rehearsal/src/scenario/mod.rs
@@ -5,6 +5,7 @@
 mod class;
 mod defaults;
 mod file;
+mod kind;
 mod receiver;
 mod rules;
 mod sender;
@@ -14,23 +15,25 @@
 mod traffic;
 
 pub use class::Class;
-pub use receiver::{ENDPOINTS_MOST, Kind, Latency, Limit, Receiver};
+pub use kind::Kind;
+pub use receiver::{ENDPOINTS_MOST, Latency, Limit, Receiver};
 pub use sender::{SENDERS_MOST, Sender};
 pub use settings::{Clients, Directory, Network, SenderSettings};
 pub use split::SplitError;
 
 use crate::event::{Known, RawEvent};
-use crate::facts::Facts;
+use crate::facts::{self, Facts};
 use crate::plan::Traffic;
 use crate::span::Micros;
-use checks::{Checks, share};
+use checks::Checks;
 use class::classes;
 use embershore_finding::{Finding, Findings};
 use file::Raw;
+use kind::kinds;
 use receiver::receivers;
 use rules::rules;
 use sender::senders;
-use std::collections::BTreeSet;
+use settings::clients;
 use std::path::{Path, PathBuf};
 use tenant::tenants;
 use toml::Spanned;
@@ -38,6 +41,10 @@
 
 /// A scenario's file is no longer than this; shipped ones have 3 KiB.
 const FILE_MOST: u64 = 4 << 20;
+/// The shortest scenario: 1 s.
+const LENGTH_LEAST: Micros = 1_000_000;
+/// How long a call is taken to take, in seconds, where no receiver has a share of the traffic.
+const MEAN_LATENCY: f64 = 0.15;
 
 /// A scenario that can't be played.
 #[derive(Debug, thiserror::Error)]
@@ -118,54 +125,19 @@
 
 fn build(raw: Raw, c: &mut Checks<'_>, folder: &Path) -> Scenario {
     let length = raw.length.get_ref().0;
-    c.whether(length >= 1_000_000, raw.length.span(), "'length' is at least 1s");
+    c.whether(length >= LENGTH_LEAST, raw.length.span(), "'length' is at least 1s");
     let rules = rules(&raw.rules, c);
     let zones = &raw.network.value.zones;
     c.whether(!zones.is_empty(), raw.network.span.clone(), "'zones' names at least one building");
-    let (clients, at) = (raw.clients.value, &raw.clients.span);
-    for (what, value) in
-        [("honour", clients.honour), ("pipeline", clients.pipeline), ("leave", clients.leave)]
-    {
-        c.whether(share(value), at.clone(), format!("'{what}' is from 0 to 1"));
-    }
-    c.whether(clients.retries <= 10, at.clone(), "'retries' is 10 at most");
-
-    let kind_names: Vec<String> = raw.kind.iter().map(|k| k.get_ref().name.clone()).collect();
-    let mut seen = BTreeSet::new();
-    for kind in &raw.kind {
-        let new = seen.insert(kind.get_ref().name.clone());
-        c.whether(new, kind.span(), format!("a second kind '{}'; name it otherwise", kind.get_ref().name));
-        let fits = (1..=100).contains(&kind.get_ref().batch);
-        c.whether(fits, kind.span(), "'batch' is from 1 to 100");
-    }
+    let clients = clients(&raw.clients, c);
+    let kind_names = kinds(&raw, c);
     let (classes, class_facts) = classes(&raw, c, &kind_names);
     let (tenant_shares, tenants) = tenants(&raw, c);
     let (receivers, receiver_facts) = receivers(&raw, c, &kind_names);
     let traffic = traffic(&raw, c, length, folder);
     let rate = traffic.iter().map(|t| t.mean_rate(length)).sum::<f64>();
-    let busy: f64 = {
-        let shares: f64 = receivers.iter().map(|r| r.share).sum();
-        let mean = receivers.iter().map(|r| r.share * r.latency.mean()).sum::<f64>();
-        if shares > 0.0 { mean / shares } else { 0.15 }
-    };
-    let (senders, sender_facts) = senders(&raw, c, rate, busy);
-
-    let numbers: Vec<i64> = receivers.iter().map(|r| r.number).collect();
-    let names: Vec<String> = sender_facts.iter().map(|s| s.name.clone()).collect();
-    let mut events: Vec<(Micros, RawEvent)> = Vec::new();
-    for event in &raw.event {
-        let known = Known { receivers: &numbers, senders: &names };
-        let mut wrong = event.get_ref().wrong(known);
-        match event.get_ref().at {
-            None => wrong.push("an event on the timeline needs 'at'; say when, such as at = \"20s\"".into()),
-            Some(at) if at.0 > length => {
-                wrong.push("'at' lies after the end; move it, or make 'length' longer".into())
-            }
-            Some(at) => events.push((at.0, event.get_ref().clone())),
-        }
-        wrong.into_iter().for_each(|w| c.at(event.span(), w));
-    }
-    events.sort_by_key(|(at, _)| *at);
+    let (senders, sender_facts) = senders(&raw, c, rate, mean_latency(&receivers));
+    let events = events(&raw, c, &receivers, &sender_facts);
     Scenario {
         about: raw.about,
         facts: Facts {
@@ -192,3 +164,36 @@
         events,
     }
 }
+
+/// How long a call takes on average, in seconds, each receiver with its share of the traffic.
+fn mean_latency(receivers: &[Receiver]) -> f64 {
+    let shares: f64 = receivers.iter().map(|r| r.share).sum();
+    let mean = receivers.iter().map(|r| r.share * r.latency.mean()).sum::<f64>();
+    if shares > 0.0 { mean / shares } else { MEAN_LATENCY }
+}
+
+/// Checks the events, and puts them in the order of their times.
+fn events(
+    raw: &Raw,
+    c: &mut Checks<'_>,
+    receivers: &[Receiver],
+    senders: &[facts::Sender],
+) -> Vec<(Micros, RawEvent)> {
+    let numbers: Vec<i64> = receivers.iter().map(|r| r.number).collect();
+    let names: Vec<String> = senders.iter().map(|s| s.name.clone()).collect();
+    let known = Known { receivers: &numbers, senders: &names };
+    let mut events: Vec<(Micros, RawEvent)> = Vec::new();
+    for event in &raw.event {
+        let mut wrong = event.get_ref().wrong(known);
+        match event.get_ref().at {
+            None => wrong.push("an event on the timeline needs 'at'; say when, such as at = \"20s\"".into()),
+            Some(at) if at.0 > raw.length.get_ref().0 => {
+                wrong.push("'at' lies after the end; move it, or make 'length' longer".into());
+            }
+            Some(at) => events.push((at.0, event.get_ref().clone())),
+        }
+        wrong.into_iter().for_each(|w| c.at(event.span(), w));
+    }
+    events.sort_by_key(|(at, _)| *at);
+    events
+}
--- a/crates/rehearsal/src/scenario/receiver.rs
+++ b/crates/rehearsal/src/scenario/receiver.rs
@@ -1,4 +1,4 @@
-//! The `[[kind]]` and `[[receiver]]` tables: the stand-in receivers and their endpoints.
+//! The `[[receiver]]` tables: the stand-in receivers and their endpoints.
 
 use super::checks::{Checks, positive, share};
 use super::defaults;
@@ -12,20 +12,6 @@
 /// Endpoints of a scenario at most: each is a socket for each sender, under a usual limit on descriptors.
 pub const ENDPOINTS_MOST: usize = 4096;
 
-/// A kind of receiver.
-#[derive(Clone, Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct Kind {
-    /// Its name.
-    pub name: String,
-    /// Messages in a call at most.
-    #[serde(default = "defaults::one_message")]
-    pub batch: u32,
-    /// Its endpoints are separate routes.
-    #[serde(default)]
-    pub apart: bool,
-}
-
 /// How long a receiver takes for a message: a log-normal, given by two of its points.
 #[derive(Clone, Copy, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -137,34 +123,9 @@
     let (mut receivers, mut figures): (Vec<Receiver>, Vec<facts::Receiver>) = (Vec::new(), Vec::new());
     let (mut seen, mut endpoints) = (BTreeSet::new(), 0);
     for r in list {
-        let at = r.number.span();
-        let kind = kinds.iter().position(|k| k == r.kind.get_ref());
-        if kind.is_none() {
-            c.at(r.kind.span(), format!("there is no kind '{}'; add a [[kind]]", r.kind.get_ref()));
-        }
-        c.whether(*r.endpoints.get_ref() > 0, r.endpoints.span(), "'endpoints' is 1 or more");
-        c.whether(
-            positive(*r.capacity.get_ref()),
-            r.capacity.span(),
-            "'capacity' is above 0 messages a second",
-        );
-        let l = r.latency.get_ref();
-        let fits = l.median.0 > 0 && l.median <= l.p99;
-        c.whether(fits, r.latency.span(), "'median' is above 0s and no longer than 'p99'");
-        if let Some(limit) = &r.limit {
-            let w = limit.get_ref().window;
-            let fits = positive(limit.get_ref().calls) && w.is_none_or(|w| w.0 > 0);
-            c.whether(fits, limit.span(), "'calls' is above 0, and so is 'window' where one is given");
-        }
-        for (what, value) in
-            [("tells_waits", r.tells_waits), ("cold_from", r.cold_from), ("error_share", r.error_share)]
-        {
-            c.whether(share(value), at.clone(), format!("'{what}' is from 0 to 1"));
-        }
-        c.whether(r.wait[0] <= r.wait[1], at.clone(), "'wait' is [from, to]");
-        let count = r.count.as_ref().map_or(1, |n| *n.get_ref());
-        let per = *r.endpoints.get_ref();
-        endpoints += count.saturating_mul(per);
+        let kind = c.index(&r.kind, kinds.iter(), "kind");
+        r.check(c);
+        endpoints += r.count().saturating_mul(*r.endpoints.get_ref());
         if endpoints > ENDPOINTS_MOST {
             c.at(
                 r.endpoints.span(),
@@ -172,57 +133,101 @@
             );
             break;
         }
-        let (limit, first) = (r.limit.as_ref().map(|l| *l.get_ref()), *r.number.get_ref());
-        for n in 0..count as i64 {
-            let number = first.saturating_add(n);
+        let apart = kind.is_some_and(|k| raw.kind[k].get_ref().apart);
+        for n in 0..r.count() as i64 {
+            let number = r.number.get_ref().saturating_add(n);
             c.whether(
                 seen.insert(number),
-                at.clone(),
+                r.number.span(),
                 format!("a second receiver {number}; number it otherwise"),
             );
-            let rate = limit.map_or(*r.capacity.get_ref(), |l| l.rate());
-            receivers.push(Receiver {
-                number,
-                kind: kind.unwrap_or(0),
-                endpoints: per,
-                share: r.share.unwrap_or(1.0) / count as f64,
-                limit,
-                capacity: *r.capacity.get_ref(),
-                latency: *r.latency.get_ref(),
-                tells_waits: r.tells_waits,
-                wait: r.wait,
-                queue: r.queue,
-                key_memory: r.key_memory.map_or(0, |s| s.0),
-                error_share: r.error_share,
-            });
-            figures.push(facts::Receiver {
-                number,
-                kind: r.kind.get_ref().clone(),
-                apart: kind.is_some_and(|k| raw.kind[k].get_ref().apart),
-                capacity: *r.capacity.get_ref(),
-                rate,
-                cold_from: r.cold_from,
-                warm_up: r.warm_up.0,
-            });
+            receivers.push(r.receiver(number, kind.unwrap_or(0)));
+            figures.push(r.figures(number, apart));
         }
     }
-    // Keys of a class are remembered by all its receivers at least for its window, or the keyed class lies.
-    let window = raw.class.get_ref().iter().filter(|k| k.effect == Effect::Keyed);
-    let window = window.filter_map(|k| k.window.as_ref()).map(|w| w.get_ref().0).max();
-    for (r, given) in receivers
-        .iter_mut()
-        .zip(list.iter().flat_map(|r| std::iter::repeat_n(r, r.count.as_ref().map_or(1, |n| *n.get_ref()))))
-    {
-        match (given.key_memory, window) {
-            (None, Some(window)) => r.key_memory = window,
-            (Some(memory), Some(window)) if memory.0 < window => {
+    set_key_memory(raw, c, &mut receivers);
+    (receivers, figures)
+}
+
+/// Keys of a class are remembered by all its receivers at least for its window, or the keyed class lies.
+fn set_key_memory(raw: &Raw, c: &mut Checks<'_>, receivers: &mut [Receiver]) {
+    let keyed = raw.class.get_ref().iter().filter(|k| k.effect == Effect::Keyed);
+    let windows = keyed.filter_map(|k| k.window.as_ref()).map(|w| w.get_ref().0);
+    let Some(window) = windows.max() else { return };
+    let given = raw.receiver.get_ref().iter().flat_map(|r| std::iter::repeat_n(r, r.count()));
+    for (receiver, given) in receivers.iter_mut().zip(given) {
+        match given.key_memory {
+            None => receiver.key_memory = window,
+            Some(memory) if memory.0 < window => {
                 c.at(
                     given.number.span(),
                     "'key_memory' is shorter than a keyed class's 'window'; make it as long",
                 );
             }
-            _ => {}
+            Some(_) => {}
+        }
+    }
+}
+
+impl RawReceiver {
+    /// How many alike there are, numbered on from its number.
+    pub(super) fn count(&self) -> usize {
+        self.count.as_ref().map_or(1, |n| *n.get_ref())
+    }
+
+    fn check(&self, c: &mut Checks<'_>) {
+        let at = self.number.span();
+        c.whether(*self.endpoints.get_ref() > 0, self.endpoints.span(), "'endpoints' is 1 or more");
+        c.whether(
+            positive(*self.capacity.get_ref()),
+            self.capacity.span(),
+            "'capacity' is above 0 messages a second",
+        );
+        let latency = self.latency.get_ref();
+        let fits = latency.median.0 > 0 && latency.median <= latency.p99;
+        c.whether(fits, self.latency.span(), "'median' is above 0s and no longer than 'p99'");
+        if let Some(limit) = &self.limit {
+            let window = limit.get_ref().window;
+            let fits = positive(limit.get_ref().calls) && window.is_none_or(|w| w.0 > 0);
+            c.whether(fits, limit.span(), "'calls' is above 0, and so is 'window' where one is given");
+        }
+        for (what, value) in [
+            ("tells_waits", self.tells_waits),
+            ("cold_from", self.cold_from),
+            ("error_share", self.error_share),
+        ] {
+            c.whether(share(value), at.clone(), format!("'{what}' is from 0 to 1"));
+        }
+        c.whether(self.wait[0] <= self.wait[1], at, "'wait' is [from, to]");
+    }
+
+    fn receiver(&self, number: i64, kind: usize) -> Receiver {
+        Receiver {
+            number,
+            kind,
+            endpoints: *self.endpoints.get_ref(),
+            share: self.share.unwrap_or(1.0) / self.count() as f64,
+            limit: self.limit.as_ref().map(|l| *l.get_ref()),
+            capacity: *self.capacity.get_ref(),
+            latency: *self.latency.get_ref(),
+            tells_waits: self.tells_waits,
+            wait: self.wait,
+            queue: self.queue,
+            key_memory: self.key_memory.map_or(0, |s| s.0),
+            error_share: self.error_share,
+        }
+    }
+
+    fn figures(&self, number: i64, apart: bool) -> facts::Receiver {
+        let capacity = *self.capacity.get_ref();
+        facts::Receiver {
+            number,
+            kind: self.kind.get_ref().clone(),
+            apart,
+            capacity,
+            rate: self.limit.as_ref().map_or(capacity, |l| l.get_ref().rate()),
+            cold_from: self.cold_from,
+            warm_up: self.warm_up.0,
         }
     }
-    (receivers, figures)
 }
--- a/crates/rehearsal/src/scenario/sender.rs
+++ b/crates/rehearsal/src/scenario/sender.rs
@@ -49,6 +49,15 @@
     pub disk_mb: f64,
 }
 
+/// Calls that a sender may have out at once, over those that its part of the traffic has out on average.
+const SLOTS_OVER_MEAN: f64 = 1.75;
+/// Slots of a sender at least, where it names none.
+const SLOTS_LEAST: u32 = 4;
+/// A sender that names no room holds its part of the traffic for this long, in seconds.
+const ROOM_SECONDS: f64 = 9.0;
+/// Its room at least.
+const ROOM_LEAST: u32 = 8;
+
 /// Checks the senders. `rate` is the messages a second of all of them, and `busy` how long a call takes on average,
 /// in seconds: from both come the slots and the room of a sender that names none.
 pub(super) fn senders(
@@ -66,6 +75,7 @@
         format!("there are 1 to {SENDERS_MOST} senders in the [[sender]] tables"),
     );
     let total: f64 = list.iter().map(|s| s.share).sum();
+    let zones = &raw.network.value.zones;
     let mut seen = BTreeSet::new();
     let (mut senders, mut figures) = (Vec::new(), Vec::new());
     for s in list {
@@ -76,33 +86,21 @@
             at.clone(),
             format!("a second sender '{name}'; name it otherwise"),
         );
-        let plain = !name.is_empty() && name.bytes().all(|b| b.is_ascii_alphanumeric() || b == b'-');
-        c.whether(plain, at.clone(), "a sender's name has letters, digits and hyphens only");
-        c.whether(positive(s.share), at.clone(), "'share' is above 0");
-        c.whether(
-            s.slots != Some(0) && s.max_open != Some(0),
-            at.clone(),
-            "'slots' and 'max_open' are 1 or more",
-        );
-        c.whether(positive(s.memory_mb) && positive(s.disk_mb) && s.sockets > 0, at, "limits are above 0");
-        let zones = &raw.network.value.zones;
-        let zone = s.zone.as_ref().and_then(|z| zones.iter().position(|n| n == z.get_ref()));
-        if let Some(z) = s.zone.as_ref().filter(|_| zone.is_none()) {
-            c.at(z.span(), format!("there is no building '{}'; there are {}", z.get_ref(), zones.join(", ")));
-        }
+        s.check(c);
+        let named_zone = s.checked_zone(c, zones);
         let count = s.count.unwrap_or(1).clamp(1, SENDERS_MOST);
         let share = s.share / count as f64;
         let part = rate * share / total.max(f64::MIN_POSITIVE);
-        let slots = s.slots.unwrap_or(((1.75 * part * busy).ceil() as u32).max(4));
-        let max_open = s.max_open.unwrap_or(((9.0 * part).ceil() as u32).max(8));
+        let slots = s.slots.unwrap_or(((SLOTS_OVER_MEAN * part * busy).ceil() as u32).max(SLOTS_LEAST));
+        let max_open = s.max_open.unwrap_or(((ROOM_SECONDS * part).ceil() as u32).max(ROOM_LEAST));
         for n in 0..count {
             // Where no building is named, many alike stand in all of them in turn.
-            let zone = zone.unwrap_or(n % zones.len().max(1));
+            let zone = named_zone.unwrap_or(n % zones.len().max(1));
             let zone_name = zones.get(zone).cloned().unwrap_or_default();
             let name = if s.count.is_some() { format!("{name}{n}") } else { name.clone() };
             if s.count.is_some() {
                 let free = seen.insert(name.clone());
-                c.whether(free, s.name.span(), format!("a second sender '{name}'; name it otherwise"));
+                c.whether(free, at.clone(), format!("a second sender '{name}'; name it otherwise"));
             }
             let (memory_mb, sockets, disk_mb) = (s.memory_mb, s.sockets, s.disk_mb);
             senders.push(Sender { share, zone, memory_mb, sockets, disk_mb });
@@ -111,3 +109,29 @@
     }
     (senders, figures)
 }
+
+impl RawSender {
+    fn check(&self, c: &mut Checks<'_>) {
+        let (name, at) = (self.name.get_ref(), self.name.span());
+        let plain = !name.is_empty() && name.bytes().all(|b| b.is_ascii_alphanumeric() || b == b'-');
+        c.whether(plain, at.clone(), "a sender's name has letters, digits and hyphens only");
+        c.whether(positive(self.share), at.clone(), "'share' is above 0");
+        c.whether(
+            self.slots != Some(0) && self.max_open != Some(0),
+            at.clone(),
+            "'slots' and 'max_open' are 1 or more",
+        );
+        let limits = positive(self.memory_mb) && positive(self.disk_mb) && self.sockets > 0;
+        c.whether(limits, at, "limits are above 0");
+    }
+
+    fn checked_zone(&self, c: &mut Checks<'_>, zones: &[String]) -> Option<usize> {
+        let zone = self.zone.as_ref()?;
+        let index = zones.iter().position(|name| name == zone.get_ref());
+        if index.is_none() {
+            let there = zones.join(", ");
+            c.at(zone.span(), format!("there is no building '{}'; there are {there}", zone.get_ref()));
+        }
+        index
+    }
+}
--- a/crates/rehearsal/src/scenario/settings.rs
+++ b/crates/rehearsal/src/scenario/settings.rs
@@ -1,5 +1,7 @@
 //! The `[network]`, `[settings]`, `[directory]` and `[clients]` tables.
 
+use super::checks::{Checks, share};
+use super::file::Section;
 use crate::span::Span;
 use serde::Deserialize;
 
@@ -103,3 +105,18 @@
         Clients { retries: 3, wait, honour: 0.8, pipeline: 0.0, leave: 0.0, patience }
     }
 }
+
+/// Times that a refused message is handed in again, at most.
+const RETRIES_MOST: u32 = 10;
+
+/// Checks how clients behave.
+pub(super) fn clients(raw: &Section<Clients>, c: &mut Checks<'_>) -> Clients {
+    let (clients, at) = (raw.value, &raw.span);
+    for (what, value) in
+        [("honour", clients.honour), ("pipeline", clients.pipeline), ("leave", clients.leave)]
+    {
+        c.whether(share(value), at.clone(), format!("'{what}' is from 0 to 1"));
+    }
+    c.whether(clients.retries <= RETRIES_MOST, at.clone(), "'retries' is 10 at most");
+    clients
+}
--- a/crates/rehearsal/src/scenario/tenant.rs
+++ b/crates/rehearsal/src/scenario/tenant.rs
@@ -1,6 +1,6 @@
 //! The `[[tenant]]` tables: whose messages there are.
 
-use super::checks::{Checks, positive};
+use super::checks::{Checks, not_negative, positive};
 use super::file::Raw;
 use crate::facts;
 use serde::Deserialize;
@@ -22,7 +22,7 @@
     for tenant in &raw.tenant {
         let (name, at) = (tenant.name.get_ref(), tenant.name.span());
         c.whether(seen.insert(name), at.clone(), format!("a second tenant '{name}'; name it otherwise"));
-        c.whether(tenant.share.is_finite() && tenant.share >= 0.0, at.clone(), "'share' is 0 or more");
+        c.whether(not_negative(tenant.share), at.clone(), "'share' is 0 or more");
         c.whether(tenant.quota.is_none_or(positive), at, "'quota' is above 0; leave it out for none");
     }
     // With none named there is one, which stands for all.
--- a/crates/rehearsal/src/scenario/traffic.rs
+++ b/crates/rehearsal/src/scenario/traffic.rs
@@ -5,7 +5,9 @@
 use crate::event::misplaced;
 use crate::plan::{Shape, Traffic};
 use crate::span::{Micros, Span};
+use crate::trace;
 use serde::Deserialize;
+use std::ops::Range;
 use std::path::{Path, PathBuf};
 use toml::Spanned;
 
@@ -45,71 +47,76 @@
 pub(super) fn traffic(raw: &Raw, c: &mut Checks<'_>, length: Micros, folder: &Path) -> Vec<Traffic> {
     let mut all = Vec::new();
     for spanned in &raw.traffic {
-        let (t, at) = (spanned.get_ref(), spanned.span());
-        let shape = *t.shape.get_ref();
-        let given = [
-            ("rate", t.rate.is_some()),
-            ("to_rate", t.to_rate.is_some()),
-            ("period", t.period.is_some()),
-            ("swing", t.swing.is_some()),
-            ("clump", t.clump.is_some()),
-            ("zipf", t.zipf.is_some()),
-            ("file", t.file.is_some()),
-            ("speed", t.speed.is_some()),
-        ];
-        for wrong in misplaced(&given, shape.fields(), "this shape") {
-            c.at(t.shape.span(), wrong);
-        }
-        let rates = [t.rate, t.to_rate, t.zipf, t.speed];
-        let good = rates.iter().flatten().all(|x| positive(*x) || (*x == 0.0 && t.speed != Some(0.0)));
-        c.whether(good, at.clone(), "rates are 0 or more, 'speed' is above 0");
-        c.whether(t.swing.is_none_or(share), at.clone(), "'swing' is from 0 to 1");
-        c.whether(t.period.is_none_or(|p| p.0 > 0), at.clone(), "'period' is above 0s");
-        let (from, to) = (t.from.map_or(0, |s| s.0), t.to.map_or(length, |s| s.0));
+        let piece = spanned.get_ref();
+        piece.check(c, spanned.span());
+        let (from, to) = (piece.from.map_or(0, |s| s.0), piece.to.map_or(length, |s| s.0));
         let fits = from < to && to <= length;
-        c.whether(fits, at.clone(), "'from' lies before 'to', and 'to' no later than 'length'");
-        let find = |name: &Option<Spanned<String>>, known: Vec<&String>, what: &str, c: &mut Checks<'_>| {
-            let name = name.as_ref()?;
-            let index = known.iter().position(|k| *k == name.get_ref());
-            if index.is_none() {
-                c.at(name.span(), format!("there is no {what} '{}'; add a [[{what}]]", name.get_ref()));
-            }
-            index
-        };
-        let class =
-            find(&t.class, raw.class.get_ref().iter().map(|k| k.name.get_ref()).collect(), "class", c);
-        let tenant = find(&t.tenant, raw.tenant.iter().map(|k| k.name.get_ref()).collect(), "tenant", c);
-        let receiver = t.receiver.as_ref().map(|n| *n.get_ref());
-        if let Some(n) = &t.receiver {
-            let known = raw.receiver.get_ref().iter().any(|r| {
-                let count = r.count.as_ref().map_or(1, |n| *n.get_ref()) as i64;
-                (*r.number.get_ref()..r.number.get_ref().saturating_add(count)).contains(n.get_ref())
-            });
-            c.whether(known, n.span(), format!("there is no receiver {}; add a [[receiver]]", n.get_ref()));
-        }
-        let mut trace = Vec::new();
-        if let Some(file) = &t.file {
-            match crate::trace::read(&folder.join(file.get_ref())) {
-                Ok(lines) => trace = lines,
-                Err(e) => c.at(file.span(), e.to_string()),
-            }
-        }
+        c.whether(fits, spanned.span(), "'from' lies before 'to', and 'to' no later than 'length'");
+        let classes = raw.class.get_ref().iter().map(|k| k.name.get_ref());
+        let class = piece.class.as_ref().and_then(|name| c.index(name, classes, "class"));
+        let tenants = raw.tenant.iter().map(|k| k.name.get_ref());
+        let tenant = piece.tenant.as_ref().and_then(|name| c.index(name, tenants, "tenant"));
         all.push(Traffic {
-            shape,
+            shape: *piece.shape.get_ref(),
             from,
             to,
-            rate: t.rate.unwrap_or(0.0),
-            to_rate: t.to_rate.unwrap_or(0.0),
-            period: t.period.map_or(0, |s| s.0),
-            swing: t.swing.unwrap_or(0.0),
-            clump: t.clump.unwrap_or(0),
-            zipf: t.zipf,
+            rate: piece.rate.unwrap_or(0.0),
+            to_rate: piece.to_rate.unwrap_or(0.0),
+            period: piece.period.map_or(0, |s| s.0),
+            swing: piece.swing.unwrap_or(0.0),
+            clump: piece.clump.unwrap_or(0),
+            zipf: piece.zipf,
             class,
             tenant,
-            receiver,
-            trace,
-            speed: t.speed.unwrap_or(1.0),
+            receiver: piece.checked_receiver(c, raw),
+            trace: piece.read_trace(c, folder),
+            speed: piece.speed.unwrap_or(1.0),
         });
     }
     all
 }
+
+impl RawTraffic {
+    fn check(&self, c: &mut Checks<'_>, at: Range<usize>) {
+        let given = [
+            ("rate", self.rate.is_some()),
+            ("to_rate", self.to_rate.is_some()),
+            ("period", self.period.is_some()),
+            ("swing", self.swing.is_some()),
+            ("clump", self.clump.is_some()),
+            ("zipf", self.zipf.is_some()),
+            ("file", self.file.is_some()),
+            ("speed", self.speed.is_some()),
+        ];
+        for wrong in misplaced(&given, self.shape.get_ref().fields(), "this shape") {
+            c.at(self.shape.span(), wrong);
+        }
+        let rates = [self.rate, self.to_rate, self.zipf, self.speed];
+        let good = rates.iter().flatten().all(|x| positive(*x) || (*x == 0.0 && self.speed != Some(0.0)));
+        c.whether(good, at.clone(), "rates are 0 or more, 'speed' is above 0");
+        c.whether(self.swing.is_none_or(share), at.clone(), "'swing' is from 0 to 1");
+        c.whether(self.period.is_none_or(|p| p.0 > 0), at, "'period' is above 0s");
+    }
+
+    fn checked_receiver(&self, c: &mut Checks<'_>, raw: &Raw) -> Option<i64> {
+        let number = self.receiver.as_ref()?;
+        let known = raw.receiver.get_ref().iter().any(|r| {
+            let first = *r.number.get_ref();
+            (first..first.saturating_add(r.count() as i64)).contains(number.get_ref())
+        });
+        c.whether(
+            known,
+            number.span(),
+            format!("there is no receiver {}; add a [[receiver]]", number.get_ref()),
+        );
+        Some(*number.get_ref())
+    }
+
+    fn read_trace(&self, c: &mut Checks<'_>, folder: &Path) -> Vec<trace::Line> {
+        let Some(file) = &self.file else { return Vec::new() };
+        trace::read(&folder.join(file.get_ref())).unwrap_or_else(|e| {
+            c.at(file.span(), e.to_string());
+            Vec::new()
+        })
+    }
+}
