Split the rig's receivers by job: endpoint, fault, load, keys, replacement, request

Change: receivers/ has a module for each: listening endpoints, faults that events bring, endpoints that go and come, load and limits, remembered keys, the answer to a request, and the connection that tells its first byte. The code is moved, not rewritten.

--- /dev/null
+++ b/crates/rehearsal/src/rig/receivers/endpoint.rs
@@ -0,0 +1,137 @@
+//! An endpoint: it listens for each sender on an address of its own, so that every connection says whose it is.
+
+use super::fault::Ill;
+use super::request::Visit;
+use super::tap::Tap;
+use super::{Receiver, Receivers};
+use crate::event::Deed;
+use crate::history::Event;
+use crate::span::duration;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::Semaphore;
+use tokio::task::AbortHandle;
+
+pub(super) struct Endpoint {
+    pub(super) name: String,
+    pub(super) zone: usize,
+    pub(super) addrs: Vec<SocketAddr>,
+    pub(super) listening: Vec<AbortHandle>,
+    pub(super) ills: RefCell<Vec<Ill>>,
+    pub(super) workers: Semaphore,
+    pub(super) waiting: Cell<usize>,
+    pub(super) rng: RefCell<ChaCha8Rng>,
+    pub(super) draining: Cell<bool>,
+}
+
+impl Endpoint {
+    pub(super) fn ill(&self, deed: Deed) -> Option<Ill> {
+        self.ills.borrow().iter().rev().find(|i| i.deed == deed).copied()
+    }
+
+    pub(super) fn chance(&self, share: f64) -> bool {
+        share > 0.0 && self.rng.borrow_mut().random::<f64>() < share
+    }
+}
+
+impl Receivers {
+    /// Opens an endpoint more of a receiver.
+    pub(super) async fn open(self: &Rc<Self>, receiver: &Rc<Receiver>) -> io::Result<Rc<Endpoint>> {
+        let born = receiver.born.get();
+        receiver.born.set(born + 1);
+        let scenario = &self.world.scenario;
+        let name = format!("r{}-{born}", receiver.spec.number);
+        let (mut addrs, mut listeners) = (Vec::new(), Vec::new());
+        for _ in 0..scenario.senders.len() {
+            let listener = TcpListener::bind("127.0.0.1:0").await?;
+            addrs.push(listener.local_addr()?);
+            listeners.push(listener);
+        }
+        // Enough to carry its part of the capacity with the mean latency, so that the receiver as a whole takes
+        // what the scenario says.
+        let part = receiver.spec.capacity / receiver.spec.endpoints.max(1) as f64;
+        let workers = (part * receiver.spec.latency.mean()).ceil().max(1.0) as usize;
+        let seed = scenario.facts.seed ^ ((receiver.spec.number as u64) << 20) ^ u64::from(born);
+        let zone = (receiver.index + born as usize) % scenario.network.zones.len();
+        let endpoint = Rc::new_cyclic(|me: &std::rc::Weak<Endpoint>| {
+            let listen = |(sender, listener): (usize, TcpListener)| {
+                let (receivers, receiver, endpoint) = (self.clone(), receiver.clone(), me.clone());
+                let task = tokio::task::spawn_local(async move {
+                    if let Some(endpoint) = endpoint.upgrade() {
+                        receivers.listen(receiver, endpoint, sender, listener).await;
+                    }
+                });
+                task.abort_handle()
+            };
+            Endpoint {
+                name,
+                zone,
+                addrs,
+                listening: listeners.into_iter().enumerate().map(listen).collect(),
+                ills: RefCell::default(),
+                workers: Semaphore::new(workers),
+                waiting: Cell::new(0),
+                rng: RefCell::new(ChaCha8Rng::seed_from_u64(seed)),
+                draining: Cell::new(false),
+            }
+        });
+        receiver.endpoints.borrow_mut().push(endpoint.clone());
+        let zone = scenario.network.zones[endpoint.zone].clone();
+        let (endpoint_name, number) = (endpoint.name.clone(), receiver.spec.number);
+        self.world.note(Event::Endpoint { endpoint: endpoint_name, receiver: number, zone });
+        Ok(endpoint)
+    }
+
+    async fn listen(
+        self: Rc<Self>,
+        receiver: Rc<Receiver>,
+        endpoint: Rc<Endpoint>,
+        sender: usize,
+        listener: TcpListener,
+    ) {
+        let idle_close = duration(self.world.scenario.settings.idle_close.0);
+        loop {
+            let Ok((stream, _)) = listener.accept().await else {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+                continue;
+            };
+            _ = stream.set_nodelay(true);
+            if receiver.resets(&endpoint) {
+                self.world.note(Event::Refused { sender, endpoint: endpoint.name.clone() });
+                // With nothing to linger for, closing resets the connection.
+                _ = stream.set_zero_linger();
+                continue;
+            }
+            let (receivers, receiver, endpoint) = (self.clone(), receiver.clone(), endpoint.clone());
+            tokio::task::spawn_local(async move {
+                let first = Rc::new(Cell::new(None));
+                let tap = Tap { stream, world: receivers.world.clone(), first: first.clone() };
+                let fresh = Rc::new(Cell::new(true));
+                let service = service_fn(move |request| {
+                    let visit = Visit {
+                        receivers: receivers.clone(),
+                        receiver: receiver.clone(),
+                        endpoint: endpoint.clone(),
+                        sender,
+                        first: first.take().unwrap_or_else(|| receivers.world.now()),
+                        fresh: fresh.replace(false),
+                    };
+                    visit.answer(request)
+                });
+                let mut server = http1::Builder::new();
+                server.timer(TokioTimer::new()).header_read_timeout(idle_close);
+                // Senders break connections off to give a call up.
+                _ = server.serve_connection(TokioIo::new(tap), service).await;
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/rehearsal/src/rig/receivers/fault.rs
@@ -0,0 +1,102 @@
+//! What is wrong with an endpoint for a while, and what becomes of a receiver by it.
+
+use super::{Endpoint, Receiver, Receivers};
+use crate::event::{Deed, RawEvent};
+use crate::history::Event;
+use crate::span::Micros;
+use std::rc::Rc;
+
+/// Something wrong with an endpoint, and how badly.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Ill {
+    pub(super) number: u64,
+    pub(super) deed: Deed,
+    pub(super) factor: f64,
+    pub(super) share: f64,
+    pub(super) by: Micros,
+    pub(super) until: Micros,
+}
+
+impl Ill {
+    /// The whole receiver is out while it lasts, and comes back cold.
+    pub(super) fn is_outage(&self) -> bool {
+        matches!(self.deed, Deed::Silent | Deed::Hang | Deed::Shut | Deed::Down)
+            || matches!(self.deed, Deed::Reset | Deed::Fail) && self.share > 0.5
+    }
+}
+
+impl Receivers {
+    /// The endpoints that an event is for, each receiver's beside it.
+    pub(super) fn picked(&self, event: &RawEvent) -> Vec<(Rc<Receiver>, Vec<Rc<Endpoint>>)> {
+        let named = self.all.iter().filter(|r| event.receiver.is_none_or(|n| n == r.spec.number));
+        let of = |r: &Rc<Receiver>| {
+            let endpoints = r.endpoints.borrow();
+            let up = endpoints.iter().filter(|e| !e.draining.get()).cloned();
+            up.take(event.endpoints.unwrap_or(usize::MAX)).collect()
+        };
+        named.map(|r| (r.clone(), of(r))).collect()
+    }
+
+    /// Makes receivers ill for a while. A receiver of which every endpoint is out is in an outage, and comes back
+    /// from it cold.
+    pub async fn trouble(&self, event: &RawEvent) {
+        let picked = self.picked(event);
+        let now = self.world.now();
+        if event.deed == Deed::Cold {
+            for (receiver, endpoints) in &picked {
+                if receiver.apart {
+                    endpoints.iter().for_each(|e| self.back(receiver, Some(e.name.clone())));
+                } else {
+                    self.back(receiver, None);
+                }
+            }
+            return;
+        }
+        let number = self.ills.get();
+        self.ills.set(number + 1);
+        let ill = Ill {
+            number,
+            deed: event.deed,
+            factor: event.factor.unwrap_or(1.0),
+            share: event.share.unwrap_or(0.0),
+            by: event.by.map_or(0, |s| s.0),
+            until: now + event.span(),
+        };
+        for (receiver, endpoints) in &picked {
+            for endpoint in endpoints {
+                endpoint.ills.borrow_mut().push(ill);
+                if receiver.apart && ill.is_outage() {
+                    self.down(receiver, Some(endpoint.name.clone()));
+                }
+            }
+            if !receiver.apart && ill.is_outage() && receiver.all_out() {
+                self.down(receiver, None);
+            }
+        }
+        tokio::time::sleep_until(self.world.recorder.instant(ill.until)).await;
+        for (receiver, endpoints) in picked {
+            let were_out = receiver.all_out();
+            for endpoint in endpoints {
+                endpoint.ills.borrow_mut().retain(|i| i.number != number);
+                if receiver.apart && ill.is_outage() {
+                    self.back(&receiver, Some(endpoint.name.clone()));
+                }
+            }
+            if !receiver.apart && were_out && !receiver.all_out() {
+                self.back(&receiver, None);
+            }
+        }
+    }
+
+    fn down(&self, receiver: &Receiver, endpoint: Option<String>) {
+        self.world.note(Event::Down { receiver: receiver.spec.number, endpoint });
+    }
+
+    fn back(&self, receiver: &Receiver, endpoint: Option<String>) {
+        let t = self.world.note(Event::Back { receiver: receiver.spec.number, endpoint: endpoint.clone() });
+        let mut lanes = receiver.lanes.borrow_mut();
+        let lane = lanes.entry(endpoint).or_default();
+        lane.back = Some(t);
+        lane.load.clear();
+    }
+}
--- /dev/null
+++ b/crates/rehearsal/src/rig/receivers/mod.rs
@@ -0,0 +1,88 @@
+//! Stand-in receivers: endpoints on loopback that take calls, carry them out in their time, and fail as they are
+//! told to. For each sender an endpoint listens on an address of its own, so that every connection says whose it is.
+
+mod endpoint;
+mod fault;
+mod keys;
+mod load;
+mod replacement;
+mod request;
+mod tap;
+
+use super::World;
+use super::directory::{Change, Directory};
+use crate::scenario::Receiver as Spec;
+use crate::span::Micros;
+use embershore_protocol::listing::Line;
+use endpoint::Endpoint;
+use load::Lane;
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, HashSet, VecDeque};
+use std::io;
+use std::rc::Rc;
+
+/// A stand-in receiver.
+struct Receiver {
+    spec: Spec,
+    index: usize,
+    apart: bool,
+    endpoints: RefCell<Vec<Rc<Endpoint>>>,
+    lanes: RefCell<HashMap<Option<String>, Lane>>,
+    keys: RefCell<HashSet<String>>,
+    key_order: RefCell<VecDeque<(Micros, String)>>,
+    born: Cell<u32>,
+}
+
+/// All of them.
+pub struct Receivers {
+    world: Rc<World>,
+    directory: Rc<Directory>,
+    all: Vec<Rc<Receiver>>,
+    ills: Cell<u64>,
+}
+
+impl Receivers {
+    pub fn start(world: Rc<World>, directory: Rc<Directory>) -> Rc<Receivers> {
+        let make = |(index, spec): (usize, &Spec)| {
+            Rc::new(Receiver {
+                spec: spec.clone(),
+                index,
+                apart: world.scenario.facts.receivers[index].apart,
+                endpoints: RefCell::default(),
+                lanes: RefCell::default(),
+                keys: RefCell::default(),
+                key_order: RefCell::default(),
+                born: Cell::new(0),
+            })
+        };
+        let all = world.scenario.receivers.iter().enumerate().map(make).collect();
+        Rc::new(Receivers { world, directory, all, ills: Cell::new(0) })
+    }
+
+    /// Opens all endpoints and has the directory list them.
+    pub async fn open_all(self: &Rc<Self>) -> io::Result<()> {
+        for receiver in &self.all {
+            let mut changes = Vec::new();
+            for _ in 0..receiver.spec.endpoints {
+                let endpoint = self.open(receiver).await?;
+                changes.push(self.line(receiver, &endpoint, "Ready"));
+            }
+            self.directory.publish(&changes);
+        }
+        Ok(())
+    }
+
+    fn line(&self, receiver: &Receiver, endpoint: &Endpoint, status: &str) -> Change {
+        let scenario = &self.world.scenario;
+        let line = Line {
+            name: endpoint.name.clone(),
+            address: String::new(),
+            zone: scenario.network.zones[endpoint.zone].clone(),
+            kind: scenario.kinds[receiver.spec.kind].name.clone(),
+            group: receiver.spec.number,
+            status: status.into(),
+            weight: Some(scenario.facts.receivers[receiver.index].rate),
+        };
+        Change { line, addrs: endpoint.addrs.clone() }
+    }
+}
--- /dev/null
+++ b/crates/rehearsal/src/rig/receivers/replacement.rs
@@ -0,0 +1,78 @@
+//! Endpoints that go, and others that come beside them or in their place.
+
+use super::{Endpoint, Receiver, Receivers};
+use crate::event::{Deed, RawEvent};
+use crate::history::Event;
+use crate::span::{Micros, duration};
+use std::rc::Rc;
+use tokio::task::AbortHandle;
+
+/// How long an endpoint that drains stays listed, where it isn't said.
+const GONE_AFTER: Micros = 6_000_000;
+/// Waves in which endpoints are replaced.
+const WAVES: usize = 4;
+
+impl Receivers {
+    /// Drains endpoints, which are gone a while later, and opens new ones in their place if the event says so.
+    pub async fn replace(self: &Rc<Self>, event: &RawEvent) {
+        let share = event.share.unwrap_or(1.0);
+        let mut old: Vec<(Rc<Receiver>, Rc<Endpoint>)> = Vec::new();
+        for (receiver, endpoints) in self.picked(event) {
+            old.extend(endpoints.into_iter().map(|e| (receiver.clone(), e)));
+        }
+        // The same share of every receiver, as near as whole endpoints allow, spread over the list.
+        let many = (old.len() as f64 * share).round() as usize;
+        let step = old.len() as f64 / many.max(1) as f64;
+        let chosen: Vec<_> = (0..many).filter_map(|n| old.get((n as f64 * step) as usize).cloned()).collect();
+        let waves = if event.over.is_some() { WAVES } else { 1 };
+        let pause = duration(event.over.map_or(0, |s| s.0) / waves as i64);
+        let size = chosen.len().div_ceil(waves).max(1);
+        for wave in chosen.chunks(size) {
+            let mut changes = Vec::new();
+            for (receiver, endpoint) in wave {
+                if event.deed == Deed::Replace {
+                    match self.open(receiver).await {
+                        Ok(new) => changes.push(self.line(receiver, &new, "Ready")),
+                        Err(e) => _ = self.world.note(Event::Mark { text: format!("no new endpoint: {e}") }),
+                    }
+                }
+                endpoint.draining.set(true);
+                changes.push(self.line(receiver, endpoint, "Terminating"));
+            }
+            self.directory.publish(&changes);
+            let (receivers, wave, after) =
+                (self.clone(), wave.to_vec(), duration(event.gone_after.map_or(GONE_AFTER, |s| s.0)));
+            tokio::task::spawn_local(async move {
+                tokio::time::sleep(after).await;
+                receivers.go(&wave);
+            });
+            tokio::time::sleep(pause).await;
+        }
+    }
+
+    /// Opens so many endpoints more, and lists them all at once.
+    pub async fn join(self: &Rc<Self>, event: &RawEvent) {
+        let named = self.all.iter().filter(|r| event.receiver == Some(r.spec.number));
+        for receiver in named {
+            let mut changes = Vec::new();
+            for _ in 0..event.endpoints.unwrap_or(1) {
+                match self.open(receiver).await {
+                    Ok(new) => changes.push(self.line(receiver, &new, "Ready")),
+                    Err(e) => _ = self.world.note(Event::Mark { text: format!("no new endpoint: {e}") }),
+                }
+            }
+            self.directory.publish(&changes);
+        }
+    }
+
+    /// Endpoints that have drained are gone: they take no connection more.
+    fn go(&self, wave: &[(Rc<Receiver>, Rc<Endpoint>)]) {
+        let mut changes = Vec::new();
+        for (receiver, endpoint) in wave {
+            receiver.endpoints.borrow_mut().retain(|e| !Rc::ptr_eq(e, endpoint));
+            endpoint.listening.iter().for_each(AbortHandle::abort);
+            changes.push(self.line(receiver, endpoint, "Gone"));
+        }
+        self.directory.publish(&changes);
+    }
+}
--- /dev/null
+++ b/crates/rehearsal/src/rig/receivers/tap.rs
@@ -0,0 +1,47 @@
+//! A connection that tells when the first byte of a request came.
+
+use crate::rig::World;
+use crate::span::Micros;
+use std::cell::Cell;
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+/// A connection that tells when the first byte of a request came.
+pub(super) struct Tap {
+    pub(super) stream: TcpStream,
+    pub(super) world: Rc<World>,
+    pub(super) first: Rc<Cell<Option<Micros>>>,
+}
+
+impl AsyncRead for Tap {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let read = std::task::ready!(Pin::new(&mut self.stream).poll_read(cx, buf));
+        if buf.filled().len() > before && self.first.get().is_none() {
+            self.first.set(Some(self.world.now()));
+        }
+        Poll::Ready(read)
+    }
+}
+
+impl AsyncWrite for Tap {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
