Rig: what an event does to an endpoint is a fault, and it is injected

Cause: 'ill' and 'trouble' were words of the earlier house style. Change: Ill is Fault, ills are faults, Receivers::trouble is Receivers::inject.

--- a/crates/rehearsal/src/rig/mod.rs
+++ b/crates/rehearsal/src/rig/mod.rs
@@ -305,7 +305,7 @@
             | Deed::Fail
             | Deed::Late
             | Deed::Wait
-            | Deed::Cold => self.receivers.trouble(&event).await,
+            | Deed::Cold => self.receivers.inject(&event).await,
             Deed::Drain | Deed::Replace => self.receivers.replace(&event).await,
             Deed::Join => self.receivers.join(&event).await,
             Deed::DirectoryLag => self.directory.lag(&event, lasting).await,
--- a/crates/rehearsal/src/rig/receivers/endpoint.rs
+++ b/crates/rehearsal/src/rig/receivers/endpoint.rs
@@ -1,6 +1,6 @@
 //! An endpoint: it listens for each sender on an address of its own, so that every connection says whose it is.
 
-use super::fault::Ill;
+use super::fault::Fault;
 use super::request::Visit;
 use super::tap::Tap;
 use super::{Receiver, Receivers};
@@ -26,7 +26,7 @@
     pub(super) zone: usize,
     pub(super) addrs: Vec<SocketAddr>,
     pub(super) listening: Vec<AbortHandle>,
-    pub(super) ills: RefCell<Vec<Ill>>,
+    pub(super) faults: RefCell<Vec<Fault>>,
     pub(super) workers: Semaphore,
     pub(super) waiting: Cell<usize>,
     pub(super) rng: RefCell<ChaCha8Rng>,
@@ -34,8 +34,8 @@
 }
 
 impl Endpoint {
-    pub(super) fn ill(&self, deed: Deed) -> Option<Ill> {
-        self.ills.borrow().iter().rev().find(|i| i.deed == deed).copied()
+    pub(super) fn fault(&self, deed: Deed) -> Option<Fault> {
+        self.faults.borrow().iter().rev().find(|f| f.deed == deed).copied()
     }
 
     pub(super) fn chance(&self, share: f64) -> bool {
@@ -77,7 +77,7 @@
                 zone,
                 addrs,
                 listening: listeners.into_iter().enumerate().map(listen).collect(),
-                ills: RefCell::default(),
+                faults: RefCell::default(),
                 workers: Semaphore::new(workers),
                 waiting: Cell::new(0),
                 rng: RefCell::new(ChaCha8Rng::seed_from_u64(seed)),
--- a/crates/rehearsal/src/rig/receivers/fault.rs
+++ b/crates/rehearsal/src/rig/receivers/fault.rs
@@ -8,7 +8,7 @@
 
 /// Something wrong with an endpoint, and how badly.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct Ill {
+pub(super) struct Fault {
     pub(super) number: u64,
     pub(super) deed: Deed,
     pub(super) factor: f64,
@@ -17,7 +17,7 @@
     pub(super) until: Micros,
 }
 
-impl Ill {
+impl Fault {
     /// The whole receiver is out while it lasts, and comes back cold.
     pub(super) fn is_outage(&self) -> bool {
         matches!(self.deed, Deed::Silent | Deed::Hang | Deed::Shut | Deed::Down)
@@ -37,9 +37,9 @@
         named.map(|r| (r.clone(), of(r))).collect()
     }
 
-    /// Makes receivers ill for a while. A receiver of which every endpoint is out is in an outage, and comes back
-    /// from it cold.
-    pub async fn trouble(&self, event: &RawEvent) {
+    /// Injects a fault into receivers for a while. A receiver of which every endpoint is out is in an outage, and comes
+    /// back from it cold.
+    pub async fn inject(&self, event: &RawEvent) {
         let picked = self.picked(event);
         let now = self.world.now();
         if event.deed == Deed::Cold {
@@ -52,9 +52,9 @@
             }
             return;
         }
-        let number = self.ills.get();
-        self.ills.set(number + 1);
-        let ill = Ill {
+        let number = self.next_fault.get();
+        self.next_fault.set(number + 1);
+        let fault = Fault {
             number,
             deed: event.deed,
             factor: event.factor.unwrap_or(1.0),
@@ -64,21 +64,21 @@
         };
         for (receiver, endpoints) in &picked {
             for endpoint in endpoints {
-                endpoint.ills.borrow_mut().push(ill);
-                if receiver.apart && ill.is_outage() {
+                endpoint.faults.borrow_mut().push(fault);
+                if receiver.apart && fault.is_outage() {
                     self.down(receiver, Some(endpoint.name.clone()));
                 }
             }
-            if !receiver.apart && ill.is_outage() && receiver.all_out() {
+            if !receiver.apart && fault.is_outage() && receiver.all_out() {
                 self.down(receiver, None);
             }
         }
-        tokio::time::sleep_until(self.world.recorder.instant(ill.until)).await;
+        tokio::time::sleep_until(self.world.recorder.instant(fault.until)).await;
         for (receiver, endpoints) in picked {
             let were_out = receiver.all_out();
             for endpoint in endpoints {
-                endpoint.ills.borrow_mut().retain(|i| i.number != number);
-                if receiver.apart && ill.is_outage() {
+                endpoint.faults.borrow_mut().retain(|f| f.number != number);
+                if receiver.apart && fault.is_outage() {
                     self.back(&receiver, Some(endpoint.name.clone()));
                 }
             }
--- a/crates/rehearsal/src/rig/receivers/load.rs
+++ b/crates/rehearsal/src/rig/receivers/load.rs
@@ -1,6 +1,6 @@
 //! What a receiver is sent and what it takes: its limit, and how it falls over while it is cold.
 
-use super::fault::Ill;
+use super::fault::Fault;
 use super::{Endpoint, Receiver};
 use crate::event::Deed;
 use crate::history::Event;
@@ -30,14 +30,14 @@
 
     /// It takes nothing: it is down, or was pushed over.
     pub(super) fn resets(&self, endpoint: &Endpoint) -> bool {
-        endpoint.ill(Deed::Down).is_some() || self.fell(endpoint)
+        endpoint.fault(Deed::Down).is_some() || self.fell(endpoint)
     }
 
     /// Every endpoint that does not drain is out.
     pub(super) fn all_out(&self) -> bool {
         let endpoints = self.endpoints.borrow();
         let mut up = endpoints.iter().filter(|e| !e.draining.get()).peekable();
-        up.peek().is_some() && up.all(|e| e.ills.borrow().iter().any(Ill::is_outage))
+        up.peek().is_some() && up.all(|e| e.faults.borrow().iter().any(Fault::is_outage))
     }
 
     /// Counts the load on a cold lane, and whether that pushes it over.
--- a/crates/rehearsal/src/rig/receivers/mod.rs
+++ b/crates/rehearsal/src/rig/receivers/mod.rs
@@ -38,7 +38,8 @@
     world: Rc<World>,
     directory: Rc<Directory>,
     all: Vec<Rc<Receiver>>,
-    ills: Cell<u64>,
+    /// The number of the next fault.
+    next_fault: Cell<u64>,
 }
 
 impl Receivers {
@@ -56,7 +57,7 @@
             })
         };
         let all = world.scenario.receivers.iter().enumerate().map(make).collect();
-        Rc::new(Receivers { world, directory, all, ills: Cell::new(0) })
+        Rc::new(Receivers { world, directory, all, next_fault: Cell::new(0) })
     }
 
     /// Opens all endpoints and has the directory list them.
--- a/crates/rehearsal/src/rig/receivers/request.rs
+++ b/crates/rehearsal/src/rig/receivers/request.rs
@@ -74,7 +74,7 @@
 impl Visit {
     pub(super) async fn answer(self, request: Request<Incoming>) -> Answer {
         let world = self.receivers.world.clone();
-        if self.endpoint.ill(Deed::Hang).is_some() {
+        if self.endpoint.fault(Deed::Hang).is_some() {
             // Nothing is read: the call's last byte never comes.
             world.note(Event::Partial { sender: self.sender, endpoint: self.endpoint.name.clone() });
             return std::future::pending().await;
@@ -114,10 +114,10 @@
 
     async fn probe(&self, world: &World) -> Answer {
         let (sender, endpoint) = (self.sender, self.endpoint.name.clone());
-        let ill = |deed| self.endpoint.ill(deed).is_some();
+        let fault = |deed| self.endpoint.fault(deed).is_some();
         self.travel(world).await;
         self.receiver.arrive(world, &self.endpoint, world.now(), 1.0);
-        if ill(Deed::Silent) {
+        if fault(Deed::Silent) {
             world.note(Event::Probe { sender, endpoint, status: 0 });
             return std::future::pending().await;
         }
@@ -126,7 +126,7 @@
             return Err(Broken);
         }
         self.travel(world).await;
-        let status = if ill(Deed::Shut) { 503 } else { 200 };
+        let status = if fault(Deed::Shut) { 503 } else { 200 };
         world.note(Event::Probe { sender, endpoint, status });
         Ok(reply(status, None, Vec::new()))
     }
@@ -173,12 +173,12 @@
         if self.receiver.resets(endpoint) {
             return broken();
         }
-        if let Some(ill) = endpoint.ill(Deed::Shut) {
+        if let Some(fault) = endpoint.fault(Deed::Shut) {
             let tells = endpoint.chance(self.receiver.spec.tells_waits);
-            return answer(503, tells.then_some(ill.until - t), None).await;
+            return answer(503, tells.then_some(fault.until - t), None).await;
         }
-        if let Some(ill) = endpoint.ill(Deed::Wait) {
-            return answer(429, Some(ill.until - t), None).await;
+        if let Some(fault) = endpoint.fault(Deed::Wait) {
+            return answer(429, Some(fault.until - t), None).await;
         }
         if let Err(room) = self.receiver.limit(endpoint, t) {
             let spec = &self.receiver.spec;
@@ -193,7 +193,7 @@
         {
             return answer(503, None, None).await;
         }
-        let fails = endpoint.ill(Deed::Fail).map_or(0.0, |i| i.share).max(self.receiver.spec.error_share);
+        let fails = endpoint.fault(Deed::Fail).map_or(0.0, |f| f.share).max(self.receiver.spec.error_share);
         let fails = endpoint.chance(fails);
         // Half of what fails has been carried out, which the sender can't tell.
         let runs = !fails || endpoint.chance(0.5);
@@ -203,12 +203,13 @@
         let (on, receiver, worker) = (world.clone(), self.receiver.clone(), endpoint.clone());
         let work =
             tokio::task::spawn_local(async move { carry_out(&on, &receiver, &worker, call, fates).await });
-        let silent = endpoint.ill(Deed::Silent).is_some();
+        let silent = endpoint.fault(Deed::Silent).is_some();
         _ = work.await;
-        if silent || endpoint.ill(Deed::Silent).is_some() {
+        if silent || endpoint.fault(Deed::Silent).is_some() {
             return std::future::pending().await;
         }
-        if endpoint.ill(Deed::Reset).is_some_and(|i| endpoint.chance(i.share)) || self.receiver.fell(endpoint)
+        if endpoint.fault(Deed::Reset).is_some_and(|f| endpoint.chance(f.share))
+            || self.receiver.fell(endpoint)
         {
             return broken();
         }
@@ -236,9 +237,9 @@
     let normal: f64 = endpoint.rng.borrow_mut().sample(StandardNormal);
     let latency = &receiver.spec.latency;
     let seconds = latency.median.secs() * (latency.sigma() * normal).exp();
-    let slow = endpoint.ill(Deed::Slow).map_or(1.0, |i| i.factor);
+    let slow = endpoint.fault(Deed::Slow).map_or(1.0, |f| f.factor);
     let chill = receiver.chill(world, endpoint, world.now());
-    let late = endpoint.ill(Deed::Late).map_or(0, |i| i.by);
+    let late = endpoint.fault(Deed::Late).map_or(0, |f| f.by);
     let weight = world.scenario.facts.rules.weight(items.len());
     let took = (seconds * weight * slow * chill * 1e6) as Micros;
     tokio::time::sleep(duration(took.saturating_add(late))).await;
