Rig: a request and its answer are an exchange; refusals are typed

Change: Visit is Exchange, Open is Unanswered; why a call is not taken on is decided by Exchange::refusal, which gives a typed Refusal. The order of the checks and of the random draws is as before.

--- a/crates/rehearsal/src/rig/receivers/endpoint.rs
+++ b/crates/rehearsal/src/rig/receivers/endpoint.rs
@@ -1,7 +1,7 @@
 //! An endpoint: it listens for each sender on an address of its own, so that every connection says whose it is.
 
 use super::fault::Fault;
-use super::request::Visit;
+use super::request::Exchange;
 use super::tap::Tap;
 use super::{Receiver, Receivers};
 use crate::event::Deed;
@@ -117,7 +117,7 @@
                 let tap = Tap { stream, world: receivers.world.clone(), first: first.clone() };
                 let fresh = Rc::new(Cell::new(true));
                 let service = service_fn(move |request| {
-                    let visit = Visit {
+                    let exchange = Exchange {
                         receivers: receivers.clone(),
                         receiver: receiver.clone(),
                         endpoint: endpoint.clone(),
@@ -125,7 +125,7 @@
                         first: first.take().unwrap_or_else(|| receivers.world.now()),
                         fresh: fresh.replace(false),
                     };
-                    visit.answer(request)
+                    exchange.answer(request)
                 });
                 let mut server = http1::Builder::new();
                 server.timer(TokioTimer::new()).header_read_timeout(idle_close);
--- a/crates/rehearsal/src/rig/receivers/request.rs
+++ b/crates/rehearsal/src/rig/receivers/request.rs
@@ -19,7 +19,7 @@
 /// A call of several messages in Base64 is no longer than this.
 const CALL_MOST: usize = 100 * 2 * BODY_MOST;
 
-/// An answer, or the word that the connection is to be broken.
+/// An answer, or the sign that the connection is to be broken.
 pub(super) type Answer = Result<Response<Full<Bytes>>, Broken>;
 
 #[derive(Debug)]
@@ -33,8 +33,8 @@
 
 impl std::error::Error for Broken {}
 
-/// A request on one of an endpoint's connections.
-pub(super) struct Visit {
+/// A request on one of an endpoint's connections, and the way of its answer.
+pub(super) struct Exchange {
     pub(super) receivers: Rc<Receivers>,
     pub(super) receiver: Rc<Receiver>,
     pub(super) endpoint: Rc<Endpoint>,
@@ -43,14 +43,22 @@
     pub(super) fresh: bool,
 }
 
+/// How a call is refused before any of it is carried out.
+enum Refusal {
+    /// Its connection is reset.
+    Reset,
+    /// It is answered with this status, and with this wait if one is told.
+    Status(u16, Option<Micros>),
+}
+
 /// Takes down that a call's connection ended, unless it was answered first.
-struct Open {
+struct Unanswered {
     world: Rc<World>,
     call: u64,
     by: Cell<Option<By>>,
 }
 
-impl Drop for Open {
+impl Drop for Unanswered {
     fn drop(&mut self) {
         if let Some(by) = self.by.get() {
             self.world.note(Event::Broke { call: self.call, by });
@@ -71,7 +79,7 @@
     u32::try_from((wait + 999) / 1000).unwrap_or(u32::MAX)
 }
 
-impl Visit {
+impl Exchange {
     pub(super) async fn answer(self, request: Request<Incoming>) -> Answer {
         let world = self.receivers.world.clone();
         if self.endpoint.fault(Deed::Hang).is_some() {
@@ -101,8 +109,7 @@
             let Some(id) = id else { return Ok(reply(400, None, Vec::new())) };
             vec![Item { id, key }]
         };
-        let most = world.scenario.kinds[self.receiver.spec.kind].batch as usize;
-        self.call(&world, items, batch, most).await
+        self.call(&world, items, batch).await
     }
 
     /// One way through the network.
@@ -131,11 +138,11 @@
         Ok(reply(status, None, Vec::new()))
     }
 
-    async fn call(&self, world: &Rc<World>, items: Vec<Item>, batch: bool, most: usize) -> Answer {
+    async fn call(&self, world: &Rc<World>, items: Vec<Item>, batch: bool) -> Answer {
         let endpoint = &self.endpoint;
         self.travel(world).await;
         let call = world.next_call();
-        let open = Open { world: world.clone(), call, by: Cell::new(Some(By::Sender)) };
+        let unanswered = Unanswered { world: world.clone(), call, by: Cell::new(Some(By::Sender)) };
         let t = world.note(Event::Call {
             call,
             sender: self.sender,
@@ -156,42 +163,19 @@
             for (_, item) in items.iter().enumerate().filter(|(n, _)| delivered(*n)) {
                 world.delivered(&item.id);
             }
-            open.by.set(None);
+            unanswered.by.set(None);
             let wait_ms = wait.map_or(0, wait_ms);
             world.note(Event::Answer { call, status, wait_ms, states: states.clone() });
             Ok(reply(status, wait, body.unwrap_or_default()))
         };
         let broken = || {
-            open.by.set(Some(By::Receiver));
+            unanswered.by.set(Some(By::Receiver));
             Err(Broken)
         };
-        if batch && items.len() > most {
-            return answer(413, None, None).await;
-        }
-        let weight = world.scenario.facts.rules.weight(items.len());
-        self.receiver.arrive(world, endpoint, t, weight);
-        if self.receiver.resets(endpoint) {
-            return broken();
-        }
-        if let Some(fault) = endpoint.fault(Deed::Shut) {
-            let tells = endpoint.chance(self.receiver.spec.tells_waits);
-            return answer(503, tells.then_some(fault.until - t), None).await;
-        }
-        if let Some(fault) = endpoint.fault(Deed::Wait) {
-            return answer(429, Some(fault.until - t), None).await;
-        }
-        if let Err(room) = self.receiver.limit(endpoint, t) {
-            let spec = &self.receiver.spec;
-            let tells = endpoint.chance(spec.tells_waits);
-            let some = endpoint.rng.borrow_mut().random_range(spec.wait[0].0..=spec.wait[1].0);
-            // To the end of the span, or for about as long as a plain rate needs.
-            let wait = if spec.limit.is_some_and(|l| l.window.is_some()) { room } else { some.max(room) };
-            return if tells { answer(429, Some(wait), None).await } else { answer(503, None, None).await };
-        }
-        if endpoint.waiting.get() + items.len()
-            > self.receiver.spec.queue + endpoint.workers.available_permits()
-        {
-            return answer(503, None, None).await;
+        match self.refusal(world, t, items.len(), batch) {
+            Some(Refusal::Reset) => return broken(),
+            Some(Refusal::Status(status, wait)) => return answer(status, wait, None).await,
+            None => {}
         }
         let fails = endpoint.fault(Deed::Fail).map_or(0.0, |f| f.share).max(self.receiver.spec.error_share);
         let fails = endpoint.chance(fails);
@@ -218,6 +202,40 @@
         }
         answer(200, None, batch.then(|| vec!["ok".to_string(); items.len()])).await
     }
+
+    /// Why a call of so many messages is not taken on, if it is not.
+    fn refusal(&self, world: &World, t: Micros, messages: usize, batch: bool) -> Option<Refusal> {
+        let (endpoint, receiver) = (&self.endpoint, &self.receiver);
+        if batch && messages > world.scenario.kinds[receiver.spec.kind].batch as usize {
+            return Some(Refusal::Status(413, None));
+        }
+        receiver.arrive(world, endpoint, t, world.scenario.facts.rules.weight(messages));
+        if receiver.resets(endpoint) {
+            return Some(Refusal::Reset);
+        }
+        if let Some(fault) = endpoint.fault(Deed::Shut) {
+            let tells = endpoint.chance(receiver.spec.tells_waits);
+            return Some(Refusal::Status(503, tells.then_some(fault.until - t)));
+        }
+        if let Some(fault) = endpoint.fault(Deed::Wait) {
+            return Some(Refusal::Status(429, Some(fault.until - t)));
+        }
+        if let Err(room) = receiver.limit(endpoint, t) {
+            return Some(self.over_limit(room));
+        }
+        let room = receiver.spec.queue + endpoint.workers.available_permits();
+        (endpoint.waiting.get() + messages > room).then_some(Refusal::Status(503, None))
+    }
+
+    /// The refusal of a call for which the limit has no room until so much later.
+    fn over_limit(&self, room: Micros) -> Refusal {
+        let spec = &self.receiver.spec;
+        let tells = self.endpoint.chance(spec.tells_waits);
+        let some = self.endpoint.rng.borrow_mut().random_range(spec.wait[0].0..=spec.wait[1].0);
+        // To the end of the span, or for about as long as a plain rate needs.
+        let wait = if spec.limit.is_some_and(|l| l.window.is_some()) { room } else { some.max(room) };
+        if tells { Refusal::Status(429, Some(wait)) } else { Refusal::Status(503, None) }
+    }
 }
 
 /// Takes a worker and its time for a call. Each message comes with whether its key was known; with nothing if it is
