--- a/src/lib.rs
+++ b/src/lib.rs
@@ -42,7 +42,7 @@
 #![warn(missing_docs)]
 #![forbid(unsafe_code)]
 
-mod company;
+mod batching;
 mod handed;
 mod interface;
 mod logic;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -5,7 +5,7 @@
 //! each endpoint's health with single trials, and a paced return. A *lane* has one limit and one pool: it is
 //! a destination, or one route of it where routes are apart.
 
-use crate::company::{Signs, filled};
+use crate::batching::{LaneDemand, filled_calls};
 use crate::interface::*;
 use crate::measure::Tables;
 use crate::state::*;
@@ -546,7 +546,7 @@
                     let fair = top / self.set.senders as f64 * FAIR_LEAST;
                     // Filled calls are the fewest that carry this sender's traffic, whatever its part.
                     let batch = self.set.batch(e.kind) as f64;
-                    let filled = if batch > 1.0 { filled(own, batch) } else { 0.0 };
+                    let filled = if batch > 1.0 { filled_calls(own, batch) } else { 0.0 };
                     let least = (own * BUDGET_LEAST).min(fair).max(filled).max(0.01);
                     let from = lane.budget.min(top).min((lane.accepted.get(now) * slack).max(least));
                     lane.budget = (from * BUDGET_CUT).max(least);
@@ -816,11 +816,11 @@
             }
             let batch = self.set.batch(e.kind) as f64;
             let refused = lane.cut > 0 && now - lane.cut < ALERT;
-            let signs = lane.limit.filter(|_| batch > 1.0).map(|l| {
+            let demand = lane.limit.filter(|_| batch > 1.0).map(|l| {
                 let equal = l / senders;
-                (l * few, Signs { equal, own, share, batch, aim: shortest as f64, refused })
+                (l * few, LaneDemand { equal, own, share, batch, aim: shortest as f64, refused })
             });
-            let spaced = signs.and_then(|(free, signs)| Some(signs.spacing()? + free));
+            let spaced = demand.and_then(|(free, demand)| Some(demand.spacing()? + free));
             lane.pace = lane.budget.min(cap).min(spaced.unwrap_or(UNPACED)).min(UNPACED);
             lane.tokens = (lane.tokens + lane.pace * dt).min((lane.pace * BURST).max(1.0));
             lane.filled = now;
