Rename the module turns to rotation

Cause: the module holds the rotation over like endpoints; docs and design pages call it so already. The serialized field names of the state are as before.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -47,8 +47,8 @@
 mod interface;
 mod logic;
 mod measure;
+mod rotation;
 mod state;
-mod turns;
 
 pub use handed::{Learnt, OutCall};
 pub use interface::*;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -8,8 +8,8 @@
 use crate::batching::{LaneDemand, filled_calls};
 use crate::interface::*;
 use crate::measure::Tables;
+use crate::rotation::Turn;
 use crate::state::*;
-use crate::turns::Turn;
 use std::collections::{BTreeMap, BTreeSet};
 
 const SAFETY: f64 = 1.5; // safety factor of the sizing rule, as in the source
--- a/src/turns.rs
+++ b/src/rotation.rs
@@ -1,4 +1,4 @@
-//! Whose turn it is among endpoints that cost a sender the same. It does no I/O, and it knows one endpoint at a time.
+//! The rotation over endpoints that cost a sender the same: which of them is next. It does no I/O, and it knows one endpoint at a time.
 //!
 //! Each sender goes round its endpoints and begins at a place of its own, so that many senders add up to an even load
 //! though none sees much of it (`docs/design/even.md`). What is known of an endpoint's pace fades to "not known".
@@ -6,13 +6,13 @@
 use crate::interface::Micros;
 
 /// Endpoints of a first list come into the rotation within this span before.
-const TURNS: f64 = 1e7;
+const FIRST_LIST_SPAN: f64 = 1e7;
 /// Memory of how much slower than its lane an endpoint answers.
 const LAG_MEMORY: f64 = 3e7;
 /// How much slower, in logarithms, is no sign: single answers differ by as much.
 const LAG_SLACK: f64 = 0.4;
 
-/// An endpoint's place in the rotation.
+/// An endpoint's place in the rotation: when it was used last, and how fast it answers.
 #[derive(Clone, Debug, Default, PartialEq)]
 #[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub(crate) struct Turn {
@@ -32,7 +32,7 @@
     /// One of a first list comes in anywhere, so that senders that all get the same list do not all begin with the same
     /// line of it. `place` is from 0 to 1, by the sender's own seed.
     pub(crate) fn first(now: Micros, place: f64) -> Turn {
-        Turn { last: now - (place * TURNS) as Micros, new_until: Micros::MIN, ..Turn::default() }
+        Turn { last: now - (place * FIRST_LIST_SPAN) as Micros, new_until: Micros::MIN, ..Turn::default() }
     }
 
     /// One that is listed beside others, which had their turns at those times. It looks idle to all senders in the same
@@ -42,7 +42,7 @@
         let (place, wait) = chances;
         others.sort_unstable();
         let at = place * (others.len() + 1) as f64;
-        // The others have their turns meanwhile: its place goes with them, or it would be owed all that it missed.
+        // The others have their turns meanwhile: its place goes with them, or it would get all that it missed at once.
         let wait = (wait * warm_up as f64) as Micros;
         let last = others.get(at as usize).map_or(now, |turn| turn - 1) + wait;
         Turn { last, eager: at < 1.0, new_until: now + wait, ..Turn::default() }
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,7 +1,7 @@
 //! The plain data that the decisions in `src/logic.rs` are kept in. Nothing is decided here.
 
 use crate::interface::*;
-use crate::turns::Turn;
+use crate::rotation::Turn;
 use std::collections::BTreeSet;
 
 /// What has one limit and one pool: a destination, or a route of it where routes are apart.
