--- /dev/null
+++ b/crates/rehearsal/src/scenario/traffic.rs
@@ -0,0 +1,122 @@
+//! The `[[traffic]]` tables: what clients hand in.
+
+use super::checks::{Checks, positive, share};
+use super::file::Raw;
+use crate::event::misplaced;
+use crate::plan::{Shape, Traffic};
+use crate::span::{Micros, Span};
+use crate::trace;
+use serde::Deserialize;
+use std::ops::Range;
+use std::path::{Path, PathBuf};
+use toml::Spanned;
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct RawTraffic {
+    pub(super) shape: Spanned<Shape>,
+    #[serde(default)]
+    pub(super) from: Option<Span>,
+    #[serde(default)]
+    pub(super) to: Option<Span>,
+    #[serde(default)]
+    pub(super) rate: Option<f64>,
+    #[serde(default)]
+    pub(super) to_rate: Option<f64>,
+    #[serde(default)]
+    pub(super) period: Option<Span>,
+    #[serde(default)]
+    pub(super) swing: Option<f64>,
+    #[serde(default)]
+    pub(super) clump: Option<u32>,
+    #[serde(default)]
+    pub(super) zipf: Option<f64>,
+    #[serde(default)]
+    pub(super) class: Option<Spanned<String>>,
+    #[serde(default)]
+    pub(super) tenant: Option<Spanned<String>>,
+    #[serde(default)]
+    pub(super) receiver: Option<Spanned<i64>>,
+    #[serde(default)]
+    pub(super) file: Option<Spanned<PathBuf>>,
+    #[serde(default)]
+    pub(super) speed: Option<f64>,
+}
+
+/// Checks the pieces of traffic; traces that they name are looked for in `folder`.
+pub(super) fn traffic(raw: &Raw, c: &mut Checks<'_>, length: Micros, folder: &Path) -> Vec<Traffic> {
+    let mut all = Vec::new();
+    for spanned in &raw.traffic {
+        let piece = spanned.get_ref();
+        piece.check(c, spanned.span());
+        let (from, to) = (piece.from.map_or(0, |s| s.0), piece.to.map_or(length, |s| s.0));
+        let fits = from < to && to <= length;
+        c.whether(fits, spanned.span(), "'from' lies before 'to', and 'to' no later than 'length'");
+        let classes = raw.class.get_ref().iter().map(|k| k.name.get_ref());
+        let class = piece.class.as_ref().and_then(|name| c.index(name, classes, "class"));
+        let tenants = raw.tenant.iter().map(|k| k.name.get_ref());
+        let tenant = piece.tenant.as_ref().and_then(|name| c.index(name, tenants, "tenant"));
+        all.push(Traffic {
+            shape: *piece.shape.get_ref(),
+            from,
+            to,
+            rate: piece.rate.unwrap_or(0.0),
+            to_rate: piece.to_rate.unwrap_or(0.0),
+            period: piece.period.map_or(0, |s| s.0),
+            swing: piece.swing.unwrap_or(0.0),
+            clump: piece.clump.unwrap_or(0),
+            zipf: piece.zipf,
+            class,
+            tenant,
+            receiver: piece.checked_receiver(c, raw),
+            trace: piece.read_trace(c, folder),
+            speed: piece.speed.unwrap_or(1.0),
+        });
+    }
+    all
+}
+
+impl RawTraffic {
+    fn check(&self, c: &mut Checks<'_>, at: Range<usize>) {
+        let given = [
+            ("rate", self.rate.is_some()),
+            ("to_rate", self.to_rate.is_some()),
+            ("period", self.period.is_some()),
+            ("swing", self.swing.is_some()),
+            ("clump", self.clump.is_some()),
+            ("zipf", self.zipf.is_some()),
+            ("file", self.file.is_some()),
+            ("speed", self.speed.is_some()),
+        ];
+        for wrong in misplaced(&given, self.shape.get_ref().fields(), "this shape") {
+            c.at(self.shape.span(), wrong);
+        }
+        let rates = [self.rate, self.to_rate, self.zipf, self.speed];
+        let good = rates.iter().flatten().all(|x| positive(*x) || (*x == 0.0 && self.speed != Some(0.0)));
+        c.whether(good, at.clone(), "rates are 0 or more, 'speed' is above 0");
+        c.whether(self.swing.is_none_or(share), at.clone(), "'swing' is from 0 to 1");
+        c.whether(self.period.is_none_or(|p| p.0 > 0), at, "'period' is above 0s");
+    }
+
+    fn checked_receiver(&self, c: &mut Checks<'_>, raw: &Raw) -> Option<i64> {
+        let number = self.receiver.as_ref()?;
+        let known = raw.receiver.get_ref().iter().any(|r| {
+            let first = *r.number.get_ref();
+            (first..first.saturating_add(r.count() as i64)).contains(number.get_ref())
+        });
+        c.whether(
+            known,
+            number.span(),
+            format!("there is no receiver {}; add a [[receiver]]", number.get_ref()),
+        );
+        Some(*number.get_ref())
+    }
+
+    fn read_trace(&self, c: &mut Checks<'_>, folder: &Path) -> Vec<trace::Line> {
+        let Some(file) = &self.file else { return Vec::new() };
+        trace::read(&folder.join(file.get_ref())).unwrap_or_else(|e| {
+            c.at(file.span(), e.to_string());
+            Vec::new()
+        })
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -42,13 +42,13 @@
 #![warn(missing_docs)]
 #![forbid(unsafe_code)]
 
-mod company;
+mod batching;
 mod handed;
 mod interface;
 mod logic;
 mod measure;
+mod rotation;
 mod state;
-mod turns;
 
 pub use handed::{Learnt, OutCall};
 pub use interface::*;
