A list of endpoints that is too long is said once, counted, and not asked for in a loop

A list over 4 MiB ended each question with `discovery: a list is too long`, asked again every 0.15 s for ever, with no figure and no word of the bound; a sender without a list stayed `starting` with no reason. A list given as `known` had no bound.

The bound follows `limits.memory_mb`: a 48th of it as text, 64 KiB at the least. Measured with 24,000 endpoints of 123 bytes and a destination each (dev build, loopback, resident beyond that with 30 endpoints): 13 bytes a byte of text, 22 once another list has replaced it, 20 with it also `known`, 27 with both; so a list at the bound takes at most 27 / 48 of the memory. At 192 MB that is 4,000,000 bytes where 4 MiB was, at 32 MB 666,666. The memory does not allow more.

The line names the bound, the bytes read and the endpoints counted, once until a list is taken again; `/_vars` has `list_rejected`, `list_bound_bytes`, `list_bytes`, `list_endpoints`, `/_ready` the reason. The last good list stays. Discovery is asked again after 1 to 2 s, for the whole list and for changes since the last good one in turn: a shorter one is heard within 6 s. The known list's content is no longer kept beside the configuration for the comparison at SIGHUP.

The stub senders' logs go to a file that a failed test prints, so that tests can read them.

--- a/crates/protocol/src/listing.rs
+++ b/crates/protocol/src/listing.rs
@@ -73,6 +73,27 @@
     escaped: bool,
 }
 
+/// Endpoints that begin in a listing's text, which may be cut at any byte.
+pub fn endpoints_begun(text: &[u8]) -> usize {
+    /// Objects in the array of an object.
+    const ENDPOINT_DEPTH: usize = 3;
+    let (mut depth, mut quoted, mut escaped, mut endpoints) = (0_usize, false, false, 0);
+    for byte in text {
+        if quoted {
+            (quoted, escaped) = (escaped || *byte != b'"', !escaped && *byte == b'\\');
+            continue;
+        }
+        match byte {
+            b'"' => quoted = true,
+            b'{' | b'[' => depth += 1,
+            b'}' | b']' => depth = depth.saturating_sub(1),
+            _ => {}
+        }
+        endpoints += usize::from(*byte == b'{' && depth == ENDPOINT_DEPTH);
+    }
+    endpoints
+}
+
 /// What in a stream of listings can't be read; nothing after it can.
 #[derive(Debug)]
 pub enum Flaw {
@@ -114,6 +135,11 @@
         self.depth > 0
     }
 
+    /// Endpoints that begin in what is kept of a listing that is not whole yet.
+    pub fn endpoints_begun(&self) -> usize {
+        endpoints_begun(&self.text)
+    }
+
     /// The next listing that is whole.
     ///
     /// # Errors
@@ -176,6 +202,18 @@
         }
     }
 
+    #[test]
+    fn endpoints_are_counted_in_a_text_that_is_cut_anywhere() {
+        let odd =
+            [r#"{"name":"a}]{\"\\","tags":{"x":[{}]},"status":"Ready"}"#, r#"{"name":"{[","status":"Gone"}"#];
+        let text = format!(r#"{{"index":7, "of":{{}}, "endpoints":[ {}, {} ]}}"#, odd[0], odd[1]);
+        let (first, second) = (text.find(odd[0]).unwrap(), text.find(odd[1]).unwrap());
+        for end in 0..=text.len() {
+            let begun = usize::from(end > first) + usize::from(end > second);
+            assert_eq!(endpoints_begun(&text.as_bytes()[..end]), begun, "cut at {end}");
+        }
+    }
+
     #[test]
     fn noise_is_told_with_its_place_and_kept_text_is_let_go() {
         let flaw = versions("{\"index\":1}\n  x", 4).unwrap_err();
--- a/crates/sender/src/asking.rs
+++ b/crates/sender/src/asking.rs
@@ -13,6 +13,9 @@
 /// Within this a watch that fell silent is opened anew, also where asking costs discovery work: what it misses counts
 /// as told soon.
 const SILENT: Duration = Duration::from_secs(1);
+/// A list that was too long is asked for again after this, since each time a good part of it is sent in vain: yet soon
+/// enough for a shorter one to be heard within the 6 s after which what it tells counts as told.
+const REJECTED: Duration = Duration::from_secs(2);
 /// Part of the span between two questions over which the first ones of many senders are spread: what is left is for
 /// those that must ask twice.
 const SPREAD: f64 = 0.8;
@@ -73,6 +76,11 @@
         if self.is_dear() { SILENT.mul_f64(self.chance()) } else { self.failed() }
     }
 
+    /// The list that was told is too long: how long to wait before the next question.
+    pub fn rejected(&mut self) -> Duration {
+        self.failed().max(REJECTED.mul_f64(LEAST + (1.0 - LEAST) * self.chance()))
+    }
+
     /// Discovery has told something, or is another one.
     pub fn heard(&mut self) {
         self.pause = self.every.map_or(RETRY_FIRST, |e| e.mul_f64(AGAIN));
--- a/crates/sender/src/daemon.rs
+++ b/crates/sender/src/daemon.rs
@@ -5,6 +5,7 @@
 use crate::driver::{Driver, Handing, Known, Parts};
 use crate::figures::Figures;
 use crate::input::Input;
+use crate::list_limit::{self, ListLimit};
 use crate::standing::{Change, Standings};
 use crate::{calls, clients, discovery, fleet, handover, inherited, journal, mgmt, notices, retune};
 use embershore_protocol::listing::Listing;
@@ -102,12 +103,16 @@
         Ok(Self::read_with_value(path)?.0)
     }
 
-    /// The configuration, and what stands in the file.
+    /// The configuration, and what stands in the file but for the known list's content.
     fn read_with_value(path: &Path) -> Result<(Self, Value), String> {
         let at = |e: &dyn Display| format!("{}: {e}", path.display());
         let text = std::fs::read_to_string(path).map_err(|e| at(&e))?;
-        let value: Value = serde_json::from_str(&text).map_err(|e| at(&e))?;
+        let mut value: Value = serde_json::from_str(&text).map_err(|e| at(&e))?;
         let config = Self::of(value.clone()).map_err(|e| at(&e))?;
+        if let Some(Value::Object(known)) = value.get_mut("known") {
+            // That there was a list is compared with a later file, what it said is not: it may be long.
+            known.clear();
+        }
         Ok((config, value))
     }
 
@@ -217,7 +222,7 @@
     let (mut terminate, hang_up) = (signal(SignalKind::terminate())?, signal(SignalKind::hangup())?);
     let var = |name: &str| std::env::var(name).map_err(|_| format!("{name} is not set"));
     let path = PathBuf::from(var("LB_CONFIG")?);
-    let (config, running) = Config::read_with_value(&path)?;
+    let (mut config, running) = Config::read_with_value(&path)?;
     // Before a client can connect: one whose connection ends with no answer has lost its message.
     let names = config.settings.names();
     let connect_timeout = config.settings.connect_timeout().filter(|t| *t > 0).unwrap_or(CONNECT_TIMEOUT);
@@ -255,6 +260,12 @@
     let (inputs, inbox) = mpsc::channel(INPUTS_MOST);
     let (notices, queue) = mpsc::unbounded_channel();
     let standings = Standings::new();
+    let list_limit = ListLimit::of_memory(config.limits.memory_mb);
+    figures.lists.limit.set(list_limit.bytes());
+    if let Some(too_long) = config.known.as_ref().and_then(|list| list_limit.check_known(list).err()) {
+        list_limit::reject(&figures, too_long, false);
+        config.known = None;
+    }
     let (discovery, follow_discovery) = watch::channel(config.discovery);
     // A version of nought means that there is no list yet, unless one was given with it.
     let index =
@@ -281,7 +292,13 @@
         _ => None,
     };
     let follow = follow_discovery.clone();
-    tokio::task::spawn_local(discovery::follow(follow, index, asking, fleet.clone(), inputs.clone()));
+    let news = discovery::News {
+        fleet: fleet.clone(),
+        driver: inputs.clone(),
+        figures: figures.clone(),
+        limit: list_limit,
+    };
+    tokio::task::spawn_local(discovery::follow(follow, index, asking, news));
     tokio::task::spawn_local(notices::send(follow_discovery, queue, inputs.clone()));
     let to = Reload { path, running, discovery, figures: figures.clone(), inputs: inputs.clone() };
     tokio::task::spawn_local(reload(to, hang_up));
--- a/crates/sender/src/discovery.rs
+++ b/crates/sender/src/discovery.rs
@@ -2,10 +2,12 @@
 
 use crate::asking::Asking;
 use crate::connection::Connection;
+use crate::figures::Figures;
 use crate::fleet::Fleet;
 use crate::input::Input;
+use crate::list_limit::{self, ListLimit, TooLong};
 use bytes::Bytes;
-use embershore_protocol::listing::{Flaw, Listing, Listings};
+use embershore_protocol::listing::{Flaw, Listing, Listings, endpoints_begun};
 use http_body_util::{BodyExt, Full};
 use hyper::Request;
 use hyper::body::Incoming;
@@ -24,7 +26,6 @@
 const ANSWER_TIME: Duration = Duration::from_millis(600);
 /// Where asking costs it work, a question may stand in line that long before its answer says whether it succeeded.
 const ANSWER_TIME_DEAR: Duration = Duration::from_secs(4);
-const LINE_MOST: usize = 4 << 20;
 
 /// Follows the list for ever. The fleet is changed as soon as a line is read, so that a drain stops calls that
 /// have not begun; the driver is told of it in order. When discovery's address changes, the new one is asked at
@@ -35,24 +36,33 @@
     mut addr: watch::Receiver<SocketAddr>,
     mut index: Option<u64>,
     mut asking: Asking,
-    fleet: Rc<RefCell<Fleet>>,
-    driver: mpsc::Sender<Input>,
+    news: News,
 ) {
     let mut pause = if index.is_some() { asking.together() } else { Duration::ZERO };
+    // The version that this address told last: what a list that is too long leaves in force.
+    let mut in_force = index;
     loop {
         let (at, before) = (*addr.borrow_and_update(), index);
         let dear = asking.is_dear();
         let work = async {
             tokio::time::sleep(pause).await;
             let (begun, mut opened) = (Instant::now(), false);
-            let ended = watch(at, &mut index, dear, &mut opened, &fleet, &driver).await;
+            let ended = watch(at, &mut index, &mut in_force, dear, &mut opened, &news).await;
             let silent = ended.as_ref().is_err_and(|e| opened && e.kind() == io::ErrorKind::TimedOut);
-            if let Err(e) = ended {
-                eprintln!("discovery: {e}");
+            let rejected = ended.as_ref().err().and_then(list_limit::too_long);
+            match (rejected, ended) {
+                (Some(too_long), _) => news.reject(too_long),
+                (None, Err(e)) => eprintln!("discovery: {e}"),
+                (None, Ok(())) => {}
             }
             // A watch that fails may bring a line first that tells nothing.
             let well = index != before || begun.elapsed() > SILENCE;
-            if silent {
+            if rejected.is_some() {
+                // Where the whole list is too long, what has changed since the last good one may not be, and the
+                // other way round.
+                index = if before.is_some() { None } else { in_force };
+                End::Rejected
+            } else if silent {
                 End::Silent
             } else if well {
                 End::Well
@@ -64,13 +74,14 @@
             biased;
             // The other end of the channel lasts as long as the process.
             _ = addr.changed() => {
-                (index, pause) = (None, Duration::ZERO);
+                (index, in_force, pause) = (None, None, Duration::ZERO);
                 asking.heard();
             }
             end = work => pause = match end {
                 End::Silent => asking.silent(),
                 End::Well => asking.ended(),
                 End::Failed => asking.failed(),
+                End::Rejected => asking.rejected(),
             },
         }
     }
@@ -83,6 +94,33 @@
     /// It was of use first.
     Well,
     Failed,
+    /// It brought a list that is too long.
+    Rejected,
+}
+
+/// Where what discovery tells goes.
+pub struct News {
+    pub fleet: Rc<RefCell<Fleet>>,
+    pub driver: mpsc::Sender<Input>,
+    pub figures: Rc<Figures>,
+    pub limit: ListLimit,
+}
+
+impl News {
+    /// The place comes first: a new address may end the wait for it, and the fleet must not know what the driver has
+    /// not been told.
+    async fn tell(&self, listing: Listing) -> io::Result<()> {
+        let place = self.driver.reserve().await.map_err(io::Error::other)?;
+        let entries = self.fleet.borrow_mut().apply(&listing);
+        place.send(Input::Members { index: listing.index, whole: listing.snapshot, entries });
+        list_limit::accept(&self.figures);
+        Ok(())
+    }
+
+    fn reject(&self, too_long: TooLong) {
+        let in_force = self.fleet.borrow().listed() > 0;
+        list_limit::reject(&self.figures, too_long, in_force);
+    }
 }
 
 /// Lists of endpoints as they are told.
@@ -90,12 +128,13 @@
     connection: Connection,
     body: Incoming,
     listings: Listings,
+    limit: ListLimit,
     /// Since when nothing whole has come.
     since: Instant,
 }
 
 impl Lines {
-    async fn ask(mut connection: Connection, path: &str, dear: bool) -> io::Result<Lines> {
+    async fn ask(mut connection: Connection, path: &str, dear: bool, limit: ListLimit) -> io::Result<Lines> {
         let addr = connection.addr().to_string();
         let request = Request::get(path).header("host", addr).body(Full::new(Bytes::new()));
         let answer = connection.send(request.map_err(io::Error::other)?);
@@ -109,7 +148,7 @@
             return Err(io::Error::new(kind, format!("status {status}")));
         }
         let (body, listings) = (response.into_body(), Listings::default());
-        Ok(Lines { connection, body, listings, since: Instant::now() })
+        Ok(Lines { connection, body, listings, limit, since: Instant::now() })
     }
 
     /// Reads on; nothing at the end.
@@ -127,7 +166,7 @@
         let mut text = Vec::new();
         while let Some(bytes) = self.read().await? {
             text.extend_from_slice(&bytes);
-            within_bounds(text.len())?;
+            self.limit.check(text.len(), || endpoints_begun(&text))?;
         }
         Listing::read(&text).map_err(flawed)
     }
@@ -142,18 +181,13 @@
             if !self.listings.is_within() {
                 self.since = Instant::now();
             }
-            within_bounds(self.listings.kept())?;
+            self.limit.check(self.listings.kept(), || self.listings.endpoints_begun())?;
             let Some(bytes) = self.read().await? else { return Ok(None) };
             self.listings.extend(&bytes);
         }
     }
 }
 
-/// Guards the memory against a list that never ends.
-fn within_bounds(length: usize) -> io::Result<()> {
-    if length > LINE_MOST { Err(io::Error::other("a list is too long")) } else { Ok(()) }
-}
-
 fn flawed(flaw: Flaw) -> io::Error {
     io::Error::new(io::ErrorKind::InvalidData, flaw)
 }
@@ -166,32 +200,24 @@
 async fn watch(
     addr: SocketAddr,
     index: &mut Option<u64>,
+    in_force: &mut Option<u64>,
     dear: bool,
     opened: &mut bool,
-    fleet: &RefCell<Fleet>,
-    driver: &mpsc::Sender<Input>,
+    news: &News,
 ) -> io::Result<()> {
-    // The place comes first: a new address may end the wait for it, and the fleet must not know what the driver has
-    // not been told.
-    let tell = async |listing: Listing| {
-        let place = driver.reserve().await.map_err(io::Error::other)?;
-        let entries = fleet.borrow_mut().apply(&listing);
-        place.send(Input::Members { index: listing.index, whole: listing.snapshot, entries });
-        Ok::<(), io::Error>(())
-    };
     let open = async || tokio::time::timeout(ANSWER_TIME, Connection::open(addr)).await.map_err(silent)?;
     let since = match *index {
         Some(since) => since,
         None => {
-            let list = Lines::ask(open().await?, "/v1/servers", dear).await?.whole().await?;
+            let list = Lines::ask(open().await?, "/v1/servers", dear, news.limit).await?.whole().await?;
             let since = list.index;
-            tell(Listing { snapshot: true, ..list }).await?;
-            *index = Some(since);
+            news.tell(Listing { snapshot: true, ..list }).await?;
+            (*index, *in_force) = (Some(since), Some(since));
             since
         }
     };
     let path = format!("/v1/servers?follow=1&since={since}");
-    let mut lines = match Lines::ask(open().await?, &path, dear).await {
+    let mut lines = match Lines::ask(open().await?, &path, dear, news.limit).await {
         Ok(lines) => lines,
         Err(e) => {
             // A version that it does not know must not be asked for again and again. Turned away, it has not
@@ -214,8 +240,8 @@
             return Err(io::Error::other(format!("version {known} was asked for, {} told", list.index)));
         }
         known = list.index;
-        tell(list).await?;
-        *index = Some(known);
+        news.tell(list).await?;
+        (*index, *in_force) = (Some(known), Some(known));
     }
     Ok(())
 }
--- a/crates/sender/src/figures.rs
+++ b/crates/sender/src/figures.rs
@@ -1,5 +1,6 @@
 //! What the sender reports of itself: counters from the process's start, and how things stand.
 
+use crate::list_limit::TooLong;
 use embershore_protocol::notice::End;
 use serde::Serialize;
 use std::cell::{Cell, RefCell};
@@ -61,6 +62,40 @@
     ejected: usize,
     sighup_applied: u64,
     sighup_rejected: u64,
+    list_rejected: u64,
+    list_bound_bytes: usize,
+    list_bytes: usize,
+    list_endpoints: usize,
+}
+
+/// What is counted of lists that are too long.
+#[derive(Debug, Default)]
+pub struct ListFigures {
+    /// The bytes that a list may have.
+    pub limit: Cell<usize>,
+    rejected: Cell<u64>,
+    last: Cell<Option<TooLong>>,
+    /// No list has been taken since the last one that was too long.
+    is_rejected: Cell<bool>,
+}
+
+impl ListFigures {
+    /// Counts a list that was not taken. True for the first one since one was taken.
+    pub fn reject(&self, too_long: TooLong) -> bool {
+        self.rejected.set(self.rejected.get() + 1);
+        self.last.set(Some(too_long));
+        !self.is_rejected.replace(true)
+    }
+
+    /// A list has been taken. True for the first one since one was not.
+    pub fn accept(&self) -> bool {
+        self.is_rejected.replace(false)
+    }
+
+    /// The list told last, if it was too long.
+    pub fn rejection(&self) -> Option<TooLong> {
+        self.last.get().filter(|_| self.is_rejected.get())
+    }
 }
 
 /// The figures as they are kept: the driver counts the ends that it decides, a connection what it has written.
@@ -78,6 +113,8 @@
     pub applied: Cell<u64>,
     /// Files turned down at SIGHUP.
     pub rejected: Cell<u64>,
+    /// Lists of endpoints that were too long.
+    pub lists: ListFigures,
 }
 
 impl Figures {
@@ -101,6 +138,7 @@
     /// All of it, where so many endpoints are listed.
     pub fn tell(&self, discovered: usize) -> Told {
         let ends = self.ends.borrow();
+        let last_list = self.lists.last.get();
         let column = |c: Column| ends.iter().map(|(name, row)| (name.clone(), row[c as usize])).collect();
         Told {
             succeeded: column(Column::Succeeded),
@@ -112,6 +150,10 @@
             ejected: self.ejected.get(),
             sighup_applied: self.applied.get(),
             sighup_rejected: self.rejected.get(),
+            list_rejected: self.lists.rejected.get(),
+            list_bound_bytes: self.lists.limit.get(),
+            list_bytes: last_list.map_or(0, |list| list.bytes),
+            list_endpoints: last_list.map_or(0, |list| list.endpoints),
         }
     }
 }
--- a/crates/sender/src/lib.rs
+++ b/crates/sender/src/lib.rs
@@ -24,6 +24,7 @@
 mod inherited;
 mod input;
 mod journal;
+mod list_limit;
 mod matrix;
 mod mgmt;
 mod notices;
--- /dev/null
+++ b/crates/sender/src/list_limit.rs
@@ -0,0 +1,170 @@
+//! How long a list of endpoints may be, and what is known of one that was longer.
+
+use crate::figures::Figures;
+use embershore_protocol::listing::Listing;
+use std::fmt;
+use std::io;
+
+/// Part of the sender's memory that the text of a list may take. Measured with 24,000 endpoints of 123 bytes and one
+/// destination each, a byte of the text costs 13 bytes resident, 22 once a list of other endpoints has replaced it (the
+/// old ones are remembered for a minute), and 27 where the first one was given with the configuration: at most 27 / 48
+/// of the memory, and the rest is for all else.
+const MEMORY_SHARE: f64 = 1.0 / 48.0;
+/// A list that is no longer than this is taken whatever the memory: some 500 endpoints, 2 MB resident.
+const LEAST: usize = 64 * 1024;
+
+/// The longest list that is taken, in bytes of its text.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ListLimit(usize);
+
+impl ListLimit {
+    /// For a sender that may use so many megabytes (of a million bytes).
+    pub fn of_memory(memory_mb: f64) -> Self {
+        ListLimit(((memory_mb * 1e6 * MEMORY_SHARE) as usize).max(LEAST))
+    }
+
+    /// In bytes.
+    pub fn bytes(self) -> usize {
+        self.0
+    }
+
+    /// Checks the text of a list, as far as it has been read.
+    ///
+    /// # Errors
+    /// It is too long; `endpoints` counts those that begin in it.
+    pub fn check(self, read: usize, endpoints: impl FnOnce() -> usize) -> Result<(), TooLong> {
+        if read <= self.0 {
+            return Ok(());
+        }
+        Err(TooLong { source: Source::Discovery, limit: self.0, bytes: read, endpoints: endpoints() })
+    }
+
+    /// Checks a list that has been read already, by the length that it has when it is written without white space.
+    ///
+    /// # Errors
+    /// It is too long.
+    pub fn check_known(self, list: &Listing) -> Result<(), TooLong> {
+        let mut text = Length(0);
+        // Only a writer that fails or a map with other keys than strings makes this fail; there is neither.
+        _ = serde_json::to_writer(&mut text, list);
+        self.check(text.0, || list.endpoints.len())
+            .map_err(|too_long| TooLong { source: Source::Configuration, ..too_long })
+    }
+}
+
+/// Counts what is written to it.
+struct Length(usize);
+
+impl io::Write for Length {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0 += bytes.len();
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Where a list comes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// It was given with the configuration, as `known`.
+    Configuration,
+    /// Discovery told it.
+    Discovery,
+}
+
+/// A list that is not taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TooLong {
+    pub source: Source,
+    /// The bytes that it may have.
+    pub limit: usize,
+    /// The bytes that have been read of it: the rest is not.
+    pub bytes: usize,
+    /// The endpoints that begin in these.
+    pub endpoints: usize,
+}
+
+impl fmt::Display for TooLong {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let TooLong { limit, bytes, endpoints, .. } = self;
+        match self.source {
+            Source::Configuration => {
+                write!(
+                    f,
+                    "the list known in the configuration is too long: {bytes} bytes, {endpoints} endpoints"
+                )?;
+            }
+            Source::Discovery => {
+                write!(f, "discovery's list is too long: {bytes} bytes read, {endpoints} endpoints so far")?;
+            }
+        }
+        write!(f, "; limits.memory_mb allows {limit} bytes")
+    }
+}
+
+impl std::error::Error for TooLong {}
+
+impl From<TooLong> for io::Error {
+    fn from(too_long: TooLong) -> Self {
+        io::Error::other(too_long)
+    }
+}
+
+/// The list that an attempt to read one has found too long, if that is why it failed.
+pub fn too_long(error: &io::Error) -> Option<TooLong> {
+    error.get_ref()?.downcast_ref::<TooLong>().copied()
+}
+
+/// Counts a list that was not taken. The first of several is logged, with what the sender goes by.
+pub fn reject(figures: &Figures, too_long: TooLong, in_force: bool) {
+    if figures.lists.reject(too_long) {
+        let stays = if in_force { "the last good list stays" } else { "no list is in force: not ready" };
+        eprintln!("{too_long}; {stays}");
+    }
+}
+
+/// Notes that a list has been taken; logged where the one before it was not.
+pub fn accept(figures: &Figures) {
+    if figures.lists.accept() {
+        eprintln!("discovery's list is within its limit again and in force");
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_limit_is_a_share_of_the_memory_and_never_less_than_a_small_list() {
+        assert_eq!(ListLimit::of_memory(192.0).bytes(), 4_000_000);
+        assert_eq!(ListLimit::of_memory(32.0).bytes(), 666_666);
+        assert_eq!(ListLimit::of_memory(0.5).bytes(), LEAST);
+        assert_eq!(ListLimit::of_memory(f64::MAX).bytes(), usize::MAX);
+    }
+
+    #[test]
+    fn the_limit_itself_is_taken_and_a_byte_more_is_not() {
+        let limit = ListLimit(10);
+        assert_eq!(limit.check(10, || 3), Ok(()));
+        let too_long = limit.check(11, || 3).unwrap_err();
+        assert_eq!(
+            too_long.to_string(),
+            "discovery's list is too long: 11 bytes read, 3 endpoints so far; limits.memory_mb allows 10 bytes"
+        );
+        assert_eq!(super::too_long(&too_long.into()), Some(too_long));
+        assert_eq!(super::too_long(&io::Error::other("silent")), None);
+    }
+
+    #[test]
+    fn a_list_that_has_been_read_is_counted_whole() {
+        let text = r#"{"index":1,"endpoints":[{"name":"a","status":"Ready"},{"name":"b","status":"Gone"}]}"#;
+        let list = Listing::read(text.as_bytes()).unwrap();
+        assert_eq!(ListLimit(10_000).check_known(&list), Ok(()));
+        let too_long = ListLimit(10).check_known(&list).unwrap_err();
+        assert_eq!((too_long.source, too_long.endpoints), (Source::Configuration, 2));
+        assert!(too_long.bytes > text.len(), "fields that are not told stand for their defaults");
+    }
+}
--- a/crates/sender/src/mgmt.rs
+++ b/crates/sender/src/mgmt.rs
@@ -58,7 +58,7 @@
                 Phase::Serving => text(StatusCode::OK, "ready"),
                 Phase::Standby => text(StatusCode::OK, "ready once the process before it has ended"),
                 Phase::HandedOver => text(StatusCode::SERVICE_UNAVAILABLE, "replaced by another process"),
-                Phase::Starting => text(StatusCode::SERVICE_UNAVAILABLE, "starting"),
+                Phase::Starting => text(StatusCode::SERVICE_UNAVAILABLE, &self.starting()),
                 Phase::LameDuck => text(StatusCode::SERVICE_UNAVAILABLE, "lame duck: told to empty itself"),
                 Phase::Stopping => text(StatusCode::SERVICE_UNAVAILABLE, "stopping"),
             },
@@ -71,6 +71,15 @@
         }
     }
 
+    /// Why a process that starts is not ready yet.
+    fn starting(&self) -> String {
+        let rejection = self.figures.lists.rejection().filter(|_| self.fleet.borrow().listed() == 0);
+        match rejection {
+            Some(too_long) => format!("starting: no list of endpoints: {too_long}"),
+            None => "starting".into(),
+        }
+    }
+
     fn vars(&self) -> Response<Full<Bytes>> {
         let told = self.figures.tell(self.fleet.borrow().listed());
         let Ok(mut body) = serde_json::to_vec(&told) else {
--- a/crates/sender/tests/common/mod.rs
+++ b/crates/sender/tests/common/mod.rs
@@ -530,9 +530,11 @@
     }
 
     pub fn spawn(&mut self) {
+        let log = std::fs::File::create(self.log_file()).unwrap();
         let child = Command::new(env!("CARGO_BIN_EXE_embershore"))
             .env("LB_CONFIG", self.folder.path().join("config.json"))
             .env("LB_STATE", self.state())
+            .stderr(log)
             .spawn()
             .unwrap();
         self.child = Some(child);
@@ -543,6 +545,15 @@
         self.folder.path().join("state")
     }
 
+    fn log_file(&self) -> std::path::PathBuf {
+        self.folder.path().join("log")
+    }
+
+    /// What the running process has logged.
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(self.log_file()).unwrap()
+    }
+
     pub fn journal(&self) -> std::path::PathBuf {
         self.state().join("journal")
     }
@@ -618,6 +629,9 @@
             _ = child.kill();
             _ = child.wait();
         }
+        if thread::panicking() {
+            eprintln!("the sender's log:\n{}", std::fs::read_to_string(self.log_file()).unwrap_or_default());
+        }
     }
 }
 
@@ -700,6 +714,10 @@
         self.0.1.notify_all();
     }
 
+    pub fn is_open(&self) -> bool {
+        *self.0.0.lock().unwrap()
+    }
+
     pub fn wait(&self) {
         let guard = self.0.0.lock().unwrap();
         _ = self.0.1.wait_timeout_while(guard, LIMIT, |open| !*open).unwrap();
