--- /dev/null
+++ b/crates/placement/tests/lease.rs
@@ -0,0 +1,31 @@
+//! The lease: counted from the ask, never shortened, over at its end.
+
+use embershore_placement::{Lease, LeaseTimes};
+
+const SECOND: i64 = 1_000_000;
+
+#[test]
+fn an_answer_renews_from_the_ask() {
+    let mut lease = Lease::new(10 * SECOND);
+    assert!(!lease.valid(0));
+    lease.renew(SECOND);
+    assert!(lease.valid(11 * SECOND - 1));
+    assert!(!lease.valid(11 * SECOND));
+}
+
+#[test]
+fn an_answer_to_an_earlier_ask_does_not_shorten_it() {
+    let mut lease = Lease::new(10 * SECOND);
+    lease.renew(5 * SECOND);
+    lease.renew(SECOND);
+    assert_eq!(lease.until(), Some(15 * SECOND));
+}
+
+#[test]
+fn the_hold_covers_a_late_agent_the_lease_the_longest_deadline_and_clocks_that_differ_in_rate() {
+    let times = LeaseTimes { lease: 10 * SECOND, agent_lag: 3 * SECOND, longest_deadline: 20 * SECOND };
+    let hold = times.hold();
+    let by_a_fast_clock = 33 * SECOND + 33 * SECOND / 1_000;
+    assert_eq!(times.until_none_takes(), 13 * SECOND);
+    assert!(hold >= by_a_fast_clock && hold < 34 * SECOND);
+}
