Placement: member lists, changes and the table of owners

Need: 15,000 senders can't each carry 4.1 million destinations; a sender has to know the few owners of each. Change: destination to shard to seat to member; member lists checked with place and mend; the base table by consistent hashing with bounded loads, seat by seat, with two spares a row; changes applied without a new build.

--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -1,4 +1,37 @@
 //! Which senders own which destinations: destination, shard, replicas, epochs and leases. No I/O; time and randomness
 //! are parameters.
+//!
+//! A destination belongs to a shard ([`shard`]), a shard to the seats that own it ([`Table::owners`]), a seat to the member
+//! that fills it ([`MemberList::member`]). The table follows from the member list alone.
 #![warn(missing_docs)]
 #![forbid(unsafe_code)]
+
+mod base;
+mod changes;
+mod conflicts;
+mod domains;
+mod error;
+mod fallback;
+pub mod hash;
+mod list;
+mod region;
+mod shard;
+mod table;
+mod target;
+mod weight;
+pub mod wire;
+
+pub use changes::{Change, Changes};
+pub use domains::{RackId, ZoneId};
+pub use error::ListError;
+pub use list::{
+    MAX_REGIONS, MAX_REPLICAS, MAX_SEATS, MAX_WIDE, MAX_WIDTH, Member, MemberList, Region, RegionId, SeatId,
+};
+pub use shard::{SHARDS, ShardId, shard, sub_shard};
+pub use table::Table;
+pub use weight::{MAX_WEIGHT, Weight};
+pub use wire::Answer;
+
+/// The scheme of placement that this version knows. Senders that share it and a member list share all owners; the golden
+/// digests in the tests pin it.
+pub const SCHEME: u16 = 1;
--- /dev/null
+++ b/crates/placement/src/list.rs
@@ -0,0 +1,503 @@
+//! The member list of one epoch: checked when it is taken over, so that what holds one needs no checks of its own.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use crate::SCHEME;
+use crate::domains::{Domains, RackId, ZoneId};
+use crate::error::ListError;
+use crate::hash::Digest;
+use crate::weight::{MAX_WEIGHT, Weight};
+use crate::wire::{ListForm, MemberForm, RegionForm, SeatForm, WideForm};
+
+/// The greatest number of replicas.
+pub const MAX_REPLICAS: usize = 4;
+
+/// The greatest number of seats, so that a seat's number takes two bytes and one value is left for "none".
+pub const MAX_SEATS: usize = u16::MAX as usize;
+
+/// The greatest number of regions; a fleet has a few.
+pub const MAX_REGIONS: usize = 256;
+
+/// The greatest width of a wide destination.
+pub const MAX_WIDTH: u16 = 1024;
+
+/// The greatest number of wide destinations: they are exceptions, and each sender holds all of them (24 bytes each).
+pub const MAX_WIDE: usize = 65_536;
+
+/// Number of a seat in the member list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct SeatId(pub u16);
+
+impl SeatId {
+    /// The number as an index.
+    pub const fn index(self) -> usize {
+        self.0 as usize
+    }
+}
+
+/// Number of a region in the member list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RegionId(pub u16);
+
+impl RegionId {
+    /// The number as an index.
+    pub const fn index(self) -> usize {
+        self.0 as usize
+    }
+}
+
+/// A region, which owns a fixed part of the shards.
+#[derive(Clone, Debug)]
+pub struct Region {
+    name: Arc<str>,
+    share: u32,
+    filled: usize,
+}
+
+impl Region {
+    /// Name of the region.
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// Its part of the shards, relative to the sum of all shares.
+    pub const fn share(&self) -> u32 {
+        self.share
+    }
+
+    /// Number of its filled seats.
+    pub const fn filled(&self) -> usize {
+        self.filled
+    }
+}
+
+/// Who fills a seat.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Member {
+    name: Arc<str>,
+    address: SocketAddr,
+}
+
+impl Member {
+    /// Name of the member, one in the whole list.
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// Where it takes forwarded requests.
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
+
+/// A numbered place in the list, with a failure domain and weight that are fixed for life.
+#[derive(Clone, Debug)]
+struct Seat {
+    rack: RackId,
+    weight: Weight,
+    member: Option<Member>,
+}
+
+/// The members of one epoch, by seats.
+#[derive(Clone, Debug)]
+pub struct MemberList {
+    epoch: u64,
+    replicas: usize,
+    first: bool,
+    regions: Vec<Region>,
+    domains: Domains,
+    seats: Vec<Seat>,
+    wide: BTreeMap<i64, u16>,
+    /// Filled seats in the order of their members' names.
+    by_name: Vec<SeatId>,
+    /// Filled seats in the order of their members' addresses.
+    by_address: Vec<SeatId>,
+    /// Sum of the digests of seats and wide destinations, kept up by each change.
+    contents: u64,
+}
+
+impl MemberList {
+    /// Checks a list and takes it over.
+    ///
+    /// # Errors
+    /// The first fault found, with its place and what mends it.
+    pub fn from_form(form: ListForm) -> Result<Self, ListError> {
+        if form.scheme != SCHEME {
+            return Err(ListError::UnknownScheme { scheme: form.scheme, known: SCHEME });
+        }
+        check_count("seats", form.seats.len(), MAX_SEATS)?;
+        check_count("wide", form.wide.len(), MAX_WIDE)?;
+        let mut list = Self {
+            epoch: form.epoch,
+            replicas: replicas(form.replicas)?,
+            first: form.first,
+            regions: regions(&form.regions)?,
+            domains: Domains::default(),
+            seats: Vec::with_capacity(form.seats.len()),
+            wide: BTreeMap::new(),
+            by_name: Vec::new(),
+            by_address: Vec::new(),
+            contents: 0,
+        };
+        for seat in &form.seats {
+            list.append_vacant(seat)?;
+        }
+        list.fill_all(&form.seats)?;
+        for &wide in &form.wide {
+            list.list_wide(wide)?;
+        }
+        list.check_members()?;
+        Ok(list)
+    }
+
+    /// Number of the list.
+    pub const fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
+    /// Whether this is a new fleet's first list, before which nobody owned anything.
+    pub const fn is_first(&self) -> bool {
+        self.first
+    }
+
+    /// Owners of each shard.
+    pub const fn replicas(&self) -> usize {
+        self.replicas
+    }
+
+    /// Regions in the order of the list.
+    pub fn regions(&self) -> &[Region] {
+        &self.regions
+    }
+
+    /// A digest of all that placement depends on, except the epoch: the same for a list that was told whole and one
+    /// that was reached by changes.
+    pub fn digest(&self) -> u64 {
+        let mut digest = Digest::new(u64::from(SCHEME)).number(self.replicas as u64);
+        for region in &self.regions {
+            digest = digest.text(&region.name).number(u64::from(region.share));
+        }
+        digest.number(self.seats.len() as u64).number(self.contents).value()
+    }
+
+    /// Number of seats, filled or vacant.
+    pub fn seat_count(&self) -> usize {
+        self.seats.len()
+    }
+
+    /// Number of filled seats.
+    pub fn member_count(&self) -> usize {
+        self.by_name.len()
+    }
+
+    /// All seats in order.
+    pub fn seat_ids(&self) -> impl Iterator<Item = SeatId> + use<> {
+        (0..self.seats.len() as u32).map(|seat| SeatId(seat as u16))
+    }
+
+    /// Who fills a seat; none if it is vacant or doesn't exist.
+    pub fn member(&self, seat: SeatId) -> Option<&Member> {
+        self.seats.get(seat.index())?.member.as_ref()
+    }
+
+    /// The seat that a member fills.
+    pub fn seat_of(&self, name: &str) -> Option<SeatId> {
+        let found = self.by_name.binary_search_by(|&seat| self.name_at(seat).cmp(name));
+        found.ok().map(|index| self.by_name[index])
+    }
+
+    /// Number of shards over which a destination's requests are spread; 1 for most.
+    pub fn width(&self, dest: i64) -> u16 {
+        self.wide.get(&dest).copied().unwrap_or(1)
+    }
+
+    /// Wide destinations and their widths, in order.
+    pub fn wide(&self) -> impl Iterator<Item = (i64, u16)> + '_ {
+        self.wide.iter().map(|(&dest, &width)| (dest, width))
+    }
+
+    /// The region of a seat of this list.
+    pub fn region(&self, seat: SeatId) -> RegionId {
+        self.domains.region(self.zone(seat))
+    }
+
+    /// The zone of a seat of this list.
+    pub fn zone(&self, seat: SeatId) -> ZoneId {
+        self.domains.zone(self.rack(seat))
+    }
+
+    /// The rack of a seat of this list.
+    pub fn rack(&self, seat: SeatId) -> RackId {
+        self.seats[seat.index()].rack
+    }
+
+    /// Name of a seat's region.
+    pub fn region_name(&self, seat: SeatId) -> &str {
+        self.regions[self.region(seat).index()].name()
+    }
+
+    /// Name of a seat's zone, within the region.
+    pub fn zone_name(&self, seat: SeatId) -> &str {
+        self.domains.zone_name(self.zone(seat))
+    }
+
+    /// Name of a seat's rack, within the zone.
+    pub fn rack_name(&self, seat: SeatId) -> &str {
+        self.domains.rack_name(self.rack(seat))
+    }
+
+    /// The weight of a seat of this list.
+    pub fn weight(&self, seat: SeatId) -> Weight {
+        self.seats[seat.index()].weight
+    }
+
+    /// Whether `next` may take this list's place.
+    ///
+    /// # Errors
+    /// An older epoch, or another list under the same epoch.
+    pub fn check_successor(&self, next: &Self) -> Result<(), ListError> {
+        if next.epoch < self.epoch {
+            return Err(ListError::StaleEpoch { current: self.epoch, offered: next.epoch });
+        }
+        if next.epoch == self.epoch && next.digest() != self.digest() {
+            return Err(ListError::DifferentList { epoch: self.epoch });
+        }
+        Ok(())
+    }
+
+    /// This list under a later epoch, to be changed.
+    pub(crate) fn successor(&self, epoch: u64) -> Self {
+        Self { epoch, first: false, ..self.clone() }
+    }
+
+    /// Checks that each region has a member for each replica.
+    pub(crate) fn check_members(&self) -> Result<(), ListError> {
+        let short = self.regions.iter().find(|region| region.filled < self.replicas);
+        short.map_or(Ok(()), |region| {
+            Err(ListError::TooFewMembers {
+                region: region.name.to_string(),
+                members: region.filled,
+                replicas: self.replicas,
+            })
+        })
+    }
+
+    /// Adds a seat behind the last one, with its member.
+    pub(crate) fn append(&mut self, form: &SeatForm) -> Result<(), ListError> {
+        check_count("seats", self.seats.len() + 1, MAX_SEATS)?;
+        let seat = self.append_vacant(form)?;
+        form.member.as_ref().map_or(Ok(()), |member| self.fill(seat, member))
+    }
+
+    /// Takes the member out of a seat.
+    pub(crate) fn vacate(&mut self, seat: SeatId) -> Result<(), ListError> {
+        self.check_seat(seat)?;
+        let Some(member) = self.member(seat).cloned() else {
+            return Err(ListError::SeatVacant { seat: seat.index() });
+        };
+        if let Ok(index) = self.find_name(&member.name) {
+            self.by_name.remove(index);
+        }
+        if let Ok(index) = self.find_address(member.address) {
+            self.by_address.remove(index);
+        }
+        self.set_member(seat, None);
+        Ok(())
+    }
+
+    /// Puts a member into a vacant seat.
+    pub(crate) fn fill(&mut self, seat: SeatId, form: &MemberForm) -> Result<(), ListError> {
+        self.check_seat(seat)?;
+        if let Some(present) = self.member(seat) {
+            return Err(ListError::SeatFilled { seat: seat.index(), member: present.name.to_string() });
+        }
+        let member = member(seat, form)?;
+        let name_index = match self.find_name(&member.name) {
+            Ok(index) => return Err(duplicate_name(&member, self.by_name[index], seat)),
+            Err(index) => index,
+        };
+        let address_index = match self.find_address(member.address) {
+            Ok(index) => return Err(duplicate_address(&member, self.by_address[index], seat)),
+            Err(index) => index,
+        };
+        self.by_name.insert(name_index, seat);
+        self.by_address.insert(address_index, seat);
+        self.set_member(seat, Some(member));
+        Ok(())
+    }
+
+    /// Sets a destination's width, which has been checked; 1 makes it plain.
+    pub(crate) fn set_width(&mut self, dest: i64, width: u16) -> Result<(), ListError> {
+        if let Some(before) = self.wide.remove(&dest) {
+            self.contents = self.contents.wrapping_sub(wide_digest(dest, before));
+        }
+        if width > 1 {
+            check_count("wide", self.wide.len() + 1, MAX_WIDE)?;
+            self.wide.insert(dest, width);
+            self.contents = self.contents.wrapping_add(wide_digest(dest, width));
+        }
+        Ok(())
+    }
+
+    fn append_vacant(&mut self, form: &SeatForm) -> Result<SeatId, ListError> {
+        let index = self.seats.len();
+        check_name(&form.zone, || format!("seats[{index}].zone"))?;
+        check_name(&form.rack, || format!("seats[{index}].rack"))?;
+        let region = self.regions.iter().position(|region| *region.name == *form.region);
+        let Some(region) = region else {
+            return Err(ListError::UnknownRegion { seat: index, region: form.region.clone() });
+        };
+        let Some(weight) = Weight::new(form.weight) else {
+            return Err(ListError::Weight { seat: index, weight: form.weight, max: MAX_WEIGHT });
+        };
+        let rack = self.domains.intern(RegionId(region as u16), &form.zone, &form.rack);
+        self.seats.push(Seat { rack, weight, member: None });
+        let seat = SeatId(index as u16);
+        self.contents = self.contents.wrapping_add(self.seat_digest(seat));
+        Ok(seat)
+    }
+
+    /// Fills the seats of a whole list: sorted once, where filling one after another would take quadratic time.
+    fn fill_all(&mut self, forms: &[SeatForm]) -> Result<(), ListError> {
+        for (seat, form) in self.seat_ids().zip(forms) {
+            if let Some(form) = &form.member {
+                let member = member(seat, form)?;
+                self.set_member(seat, Some(member));
+                self.by_name.push(seat);
+            }
+        }
+        let seats = &self.seats;
+        let at = |seat: &SeatId| seats[seat.index()].member.as_ref();
+        self.by_address = self.by_name.clone();
+        self.by_name.sort_by_key(|seat| at(seat).map(|member| &member.name));
+        self.by_address.sort_by_key(|seat| at(seat).map(|member| member.address));
+        self.check_distinct()
+    }
+
+    fn check_distinct(&self) -> Result<(), ListError> {
+        for pair in self.by_name.windows(2) {
+            if let (Some(first), Some(second)) = (self.member(pair[0]), self.member(pair[1]))
+                && first.name == second.name
+            {
+                return Err(duplicate_name(second, pair[0], pair[1]));
+            }
+        }
+        for pair in self.by_address.windows(2) {
+            if let (Some(first), Some(second)) = (self.member(pair[0]), self.member(pair[1]))
+                && first.address == second.address
+            {
+                return Err(duplicate_address(second, pair[0], pair[1]));
+            }
+        }
+        Ok(())
+    }
+
+    fn list_wide(&mut self, wide: WideForm) -> Result<(), ListError> {
+        let Ok(width @ 2..=MAX_WIDTH) = u16::try_from(wide.width) else {
+            return Err(ListError::Width { dest: wide.dest, width: wide.width, max: MAX_WIDTH });
+        };
+        if self.wide.contains_key(&wide.dest) {
+            return Err(ListError::DuplicateWide { dest: wide.dest });
+        }
+        self.set_width(wide.dest, width)
+    }
+
+    fn check_seat(&self, seat: SeatId) -> Result<(), ListError> {
+        if seat.index() < self.seats.len() {
+            return Ok(());
+        }
+        Err(ListError::SeatOutOfRange { seat: u64::from(seat.0), seats: self.seats.len() })
+    }
+
+    /// Changes who fills a seat, with the counts and the digest that depend on it.
+    fn set_member(&mut self, seat: SeatId, member: Option<Member>) {
+        let region = self.region(seat).index();
+        let before = self.seat_digest(seat);
+        let was_filled = self.seats[seat.index()].member.is_some();
+        let is_filled = member.is_some();
+        self.seats[seat.index()].member = member;
+        let filled = &mut self.regions[region].filled;
+        *filled = *filled + usize::from(is_filled) - usize::from(was_filled);
+        self.contents = self.contents.wrapping_sub(before).wrapping_add(self.seat_digest(seat));
+    }
+
+    fn seat_digest(&self, seat: SeatId) -> u64 {
+        let digest = Digest::new(u64::from(seat.0))
+            .number(u64::from(self.region(seat).0))
+            .text(self.zone_name(seat))
+            .text(self.rack_name(seat))
+            .number(u64::from(self.weight(seat).units()));
+        match self.member(seat) {
+            Some(member) => digest.text(&member.name).text(&member.address.to_string()).value(),
+            None => digest.value(),
+        }
+    }
+
+    fn name_at(&self, seat: SeatId) -> &str {
+        self.member(seat).map_or("", Member::name)
+    }
+
+    fn find_name(&self, name: &str) -> Result<usize, usize> {
+        self.by_name.binary_search_by(|&seat| self.name_at(seat).cmp(name))
+    }
+
+    fn find_address(&self, address: SocketAddr) -> Result<usize, usize> {
+        self.by_address.binary_search_by_key(&Some(address), |&seat| self.member(seat).map(Member::address))
+    }
+}
+
+fn wide_digest(dest: i64, width: u16) -> u64 {
+    const WIDE: u64 = u64::MAX;
+    Digest::new(WIDE).number(dest as u64).number(u64::from(width)).value()
+}
+
+fn check_count(what: &'static str, count: usize, max: usize) -> Result<(), ListError> {
+    if count > max { Err(ListError::TooMany { what, count, max }) } else { Ok(()) }
+}
+
+fn check_name(name: &str, place: impl FnOnce() -> String) -> Result<(), ListError> {
+    if name.trim().is_empty() { Err(ListError::EmptyName { place: place() }) } else { Ok(()) }
+}
+
+fn replicas(replicas: u64) -> Result<usize, ListError> {
+    let within = usize::try_from(replicas).ok().filter(|replicas| (1..=MAX_REPLICAS).contains(replicas));
+    within.ok_or(ListError::Replicas { replicas, max: MAX_REPLICAS })
+}
+
+fn regions(forms: &[RegionForm]) -> Result<Vec<Region>, ListError> {
+    if forms.is_empty() {
+        return Err(ListError::NoRegions);
+    }
+    check_count("regions", forms.len(), MAX_REGIONS)?;
+    let mut regions: Vec<Region> = Vec::with_capacity(forms.len());
+    for (index, form) in forms.iter().enumerate() {
+        check_name(&form.name, || format!("regions[{index}].name"))?;
+        if form.share == 0 {
+            return Err(ListError::ZeroShare { index, name: form.name.clone() });
+        }
+        if let Some(first) = regions.iter().position(|region| *region.name == *form.name) {
+            return Err(ListError::DuplicateRegion { name: form.name.clone(), first, second: index });
+        }
+        regions.push(Region { name: form.name.as_str().into(), share: form.share, filled: 0 });
+    }
+    Ok(regions)
+}
+
+fn member(seat: SeatId, form: &MemberForm) -> Result<Member, ListError> {
+    check_name(&form.name, || format!("seats[{}].member.name", seat.0))?;
+    let address = form.address.parse().ok().filter(|address: &SocketAddr| address.port() != 0);
+    let Some(address) = address else {
+        return Err(ListError::Address { seat: seat.index(), address: form.address.clone() });
+    };
+    Ok(Member { name: form.name.as_str().into(), address })
+}
+
+fn duplicate_name(member: &Member, first: SeatId, second: SeatId) -> ListError {
+    ListError::DuplicateName { name: member.name.to_string(), first: first.index(), second: second.index() }
+}
+
+fn duplicate_address(member: &Member, first: SeatId, second: SeatId) -> ListError {
+    ListError::DuplicateAddress { address: member.address, first: first.index(), second: second.index() }
+}
