Placement: one sender's view, with leases, holds, routes and shares

Need: a sender has to know from the member list, its epoch and its own clock what it may take on, so that the owners of two epochs never act for one destination, or one order key, at once.

Change: ownership.rs (answers, routes, what is taken on), holds.rs (what is new and waits), preference.rs (rendezvous hashing of a request over its shard's owners), placement.rs (list and table together, to be shared by many senders of one process). Ordered requests have one owner and no fallback; a key whose preferred owner moves waits for the hold. Changes over several epochs are played one by one; a whole list over several epochs makes all new. A hold also counts how far an agent may be behind.

--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -14,8 +14,12 @@
 mod fallback;
 mod forwarding;
 pub mod hash;
+mod holds;
 mod lease;
 mod list;
+mod ownership;
+mod placement;
+mod preference;
 mod region;
 mod shard;
 mod table;
@@ -31,6 +35,9 @@
 pub use list::{
     MAX_REGIONS, MAX_REPLICAS, MAX_SEATS, MAX_WIDE, MAX_WIDTH, Member, MemberList, Region, RegionId, SeatId,
 };
+pub use ownership::{Heard, MAX_REPLAYED, Ownership, Remembered, Route, Takes};
+pub use placement::{Placement, Placements, Unshared};
+pub use preference::Request;
 pub use shard::{SHARDS, ShardId, shard, sub_shard};
 pub use table::Table;
 pub use weight::{MAX_WEIGHT, Weight};
--- /dev/null
+++ b/crates/placement/tests/ownership.rs
@@ -0,0 +1,470 @@
+//! One sender's view: leases, holds, routes, and answers that are refused.
+
+mod support;
+
+use embershore_placement::wire::{ListForm, WideForm};
+use embershore_placement::{
+    Answer, Change, Changes, ListError, MAX_REPLAYED, MemberList, Ownership, Remembered, Request, Route,
+    SeatId, ShardId, Table, Takes, shard, sub_shard,
+};
+use heronroute::Micros;
+use support::{fleet, list, member_form, seat_form};
+
+const SECOND: Micros = 1_000_000;
+const LEASE: Micros = 10 * SECOND;
+const DEADLINE: Micros = 20 * SECOND;
+const HOLD: Micros = 30 * SECOND + 30 * SECOND / 1_000;
+const OWN: SeatId = SeatId(0);
+
+/// Six members in one region of three zones, two owners a shard, nobody before them.
+fn first_form() -> ListForm {
+    ListForm { first: true, ..fleet(&[3], 6, 1) }
+}
+
+fn first_list() -> MemberList {
+    list(first_form())
+}
+
+fn whole(list: &MemberList) -> Answer {
+    Answer::Whole(Box::new(list.clone()))
+}
+
+fn unheard(seat: SeatId) -> Ownership {
+    Ownership::new(member_form(seat.index()).name, LEASE, DEADLINE)
+}
+
+/// The member of a seat, which heard this list at 0.
+fn heard(seat: SeatId, list: &MemberList) -> Ownership {
+    let mut ownership = unheard(seat);
+    ownership.heard(0, 0, whole(list)).unwrap();
+    ownership
+}
+
+fn changes(since: u64, epoch: u64, changes: Vec<Change>) -> Changes {
+    Changes { epoch, since, changes }
+}
+
+fn vacate(seat: u16) -> Change {
+    Change::Vacate { seat: SeatId(seat) }
+}
+
+fn fill(seat: u16) -> Change {
+    Change::Fill { seat: SeatId(seat), member: member_form(usize::from(seat)) }
+}
+
+fn widen(dest: i64, width: u64) -> Change {
+    Change::Widen(WideForm { dest, width })
+}
+
+fn request(dest: i64, request_id: &str) -> Request<'_> {
+    Request { dest, order_key: None, request_id }
+}
+
+fn ordered(dest: i64, order_key: &str) -> Request<'_> {
+    Request { dest, order_key: Some(order_key), request_id: "r" }
+}
+
+/// The first destination whose owners are as wanted.
+fn dest_where(list: &MemberList, wanted: impl Fn(&[SeatId]) -> bool) -> i64 {
+    let table = Table::build(list);
+    (0..100_000).find(|&dest| wanted(table.owners(shard(dest)))).expect("such a destination")
+}
+
+/// The first order key of a destination for which the answer is as wanted.
+fn key_where(wanted: impl Fn(&str) -> bool) -> String {
+    (0..1_000).map(|number| format!("key-{number}")).find(|key| wanted(key)).expect("such a key")
+}
+
+#[test]
+fn a_sender_that_heard_nothing_knows_no_way_and_takes_nothing() {
+    let ownership = unheard(OWN);
+    assert_eq!(ownership.route(0, &request(1, "r")), Route::Unknown);
+    assert_eq!(ownership.takes(0, 1), Takes::LeaseExpired);
+    assert_eq!(ownership.admits(0, &ordered(1, "k")), Takes::LeaseExpired);
+    assert_eq!(ownership.settled(0), None);
+    assert!(!ownership.keeps(1));
+}
+
+#[test]
+fn the_first_list_is_on_hold_for_lease_and_longest_deadline() {
+    let started_earlier = list(fleet(&[3], 6, 1));
+    let dest = dest_where(&started_earlier, |owners| owners.contains(&OWN));
+    let mut ownership = heard(OWN, &started_earlier);
+    assert_eq!(ownership.takes(1, dest), Takes::OnHold(HOLD));
+    assert_eq!(ownership.settled(HOLD - 1), None);
+    ownership.heard(HOLD - 1, HOLD - 1, Answer::Unchanged { epoch: 1 }).unwrap();
+    assert_eq!(ownership.takes(HOLD - 1, dest), Takes::OnHold(HOLD));
+    assert_eq!(ownership.takes(HOLD, dest), Takes::Yes);
+}
+
+#[test]
+fn an_agent_that_may_be_behind_makes_the_hold_longer() {
+    let mut ownership = unheard(OWN).with_agent_lag(5 * SECOND);
+    ownership.heard(0, 0, whole(&list(fleet(&[3], 6, 1)))).unwrap();
+    let until = ownership.on_hold(1).unwrap();
+    assert!(until >= 35 * SECOND, "{until}");
+}
+
+#[test]
+fn a_new_fleet_and_a_settled_sender_that_restarts_wait_for_nobody() {
+    let new_fleet = first_list();
+    let dest = dest_where(&new_fleet, |owners| owners.contains(&OWN));
+    assert_eq!(heard(OWN, &new_fleet).takes(1, dest), Takes::Yes);
+    let running = list(fleet(&[3], 6, 1));
+    let memory = Remembered { epoch: 1, digest: running.digest() };
+    let mut restarted = unheard(OWN).with_memory(Some(memory));
+    restarted.heard(0, 0, whole(&running)).unwrap();
+    assert_eq!(restarted.takes(1, dest), Takes::Yes);
+    assert_eq!(restarted.settled(1), Some(memory));
+}
+
+#[test]
+fn what_the_state_folder_remembers_counts_for_that_list_alone() {
+    let running = list(fleet(&[3], 6, 1));
+    let dest = dest_where(&running, |owners| owners.contains(&OWN));
+    for memory in [
+        Remembered { epoch: 2, digest: running.digest() },
+        Remembered { epoch: 1, digest: running.digest() ^ 1 },
+    ] {
+        let mut restarted = unheard(OWN).with_memory(Some(memory));
+        restarted.heard(0, 0, whole(&running)).unwrap();
+        assert_eq!(restarted.takes(1, dest), Takes::OnHold(HOLD));
+    }
+}
+
+#[test]
+fn the_lease_counts_from_the_ask_and_an_expired_one_takes_nothing_but_forwards() {
+    let members = first_list();
+    let dest = dest_where(&members, |owners| owners.contains(&OWN));
+    let mut ownership = heard(OWN, &members);
+    ownership.heard(4 * SECOND, 9 * SECOND, Answer::Unchanged { epoch: 1 }).unwrap();
+    assert_eq!(ownership.takes(14 * SECOND - 1, dest), Takes::Yes);
+    assert_eq!(ownership.takes(14 * SECOND, dest), Takes::LeaseExpired);
+    assert_eq!(ownership.admits(14 * SECOND, &request(dest, "r")), Takes::LeaseExpired);
+    let Route::Forward(candidates) = ownership.route(14 * SECOND, &request(dest, "r")) else { panic!() };
+    assert_eq!(candidates.len(), 1);
+    assert!(!candidates.contains(&OWN));
+    assert!(ownership.keeps(dest));
+}
+
+#[test]
+fn answers_that_do_not_fit_are_refused_and_renew_nothing() {
+    let members = first_list();
+    let mut ownership = heard(OWN, &members);
+    ownership.heard(0, 0, Answer::Changes(changes(1, 2, vec![vacate(5)]))).unwrap();
+    let digest = ownership.list().unwrap().digest();
+    let other = list(ListForm { epoch: 2, ..fleet(&[3], 7, 1) });
+    let stale = ListError::StaleEpoch { current: 2, offered: 1 };
+    let refused = [
+        (whole(&members), stale.clone()),
+        (Answer::Unchanged { epoch: 1 }, stale.clone()),
+        (Answer::Changes(changes(0, 1, vec![vacate(4)])), stale),
+        (whole(&other), ListError::DifferentList { epoch: 2 }),
+        (Answer::Unchanged { epoch: 3 }, ListError::SinceMismatch { current: 2, since: 3 }),
+        (Answer::Changes(changes(1, 3, vec![vacate(4)])), ListError::SinceMismatch { current: 2, since: 1 }),
+        (Answer::Changes(changes(2, 3, vec![vacate(5)])), ListError::SeatVacant { seat: 5 }),
+    ];
+    for (answer, error) in refused {
+        assert_eq!(ownership.heard(9 * SECOND, 9 * SECOND, answer), Err(error));
+        assert_eq!(ownership.epoch(), Some(2));
+        assert_eq!(ownership.list().unwrap().digest(), digest);
+        assert!(!ownership.lease_valid(LEASE));
+    }
+}
+
+#[test]
+fn the_same_answer_again_renews_and_changes_nothing() {
+    let members = first_list();
+    let mut ownership = heard(OWN, &members);
+    let step = changes(1, 2, vec![vacate(5)]);
+    assert!(ownership.heard(0, 0, Answer::Changes(step.clone())).unwrap().changed);
+    let on_hold = ownership.on_hold(1);
+    for answer in [Answer::Changes(step), whole(&ownership.list().unwrap().clone())] {
+        let again = ownership.heard(SECOND, SECOND, answer).unwrap();
+        assert!(!again.changed);
+        assert_eq!((again.gained.len(), again.lost.len()), (0, 0));
+        assert_eq!(ownership.on_hold(SECOND), on_hold);
+    }
+    assert!(ownership.lease_valid(LEASE + SECOND - 1));
+}
+
+#[test]
+fn what_an_epoch_gives_is_on_hold_and_what_it_leaves_is_not() {
+    let members = first_list();
+    let mut ownership = heard(OWN, &members);
+    let step = changes(1, 2, vec![vacate(5)]);
+    let next = members.apply(&step).unwrap();
+    let (before, after) = (Table::build(&members), Table::build(&next));
+    let heard = ownership.heard(SECOND, SECOND, Answer::Changes(step)).unwrap();
+    let is_new = |shard: ShardId| !before.owners(shard).contains(&OWN);
+    let mut expected: Vec<ShardId> = after.shards_of(OWN).filter(|&shard| is_new(shard)).collect();
+    expected.sort_unstable();
+    assert!(!expected.is_empty());
+    assert_eq!((heard.epoch, heard.gained, heard.lost), (2, expected, vec![]));
+    let kept = dest_where(&members, |owners| owners.contains(&OWN));
+    assert_eq!(ownership.takes(SECOND, kept), Takes::Yes);
+    let owned_after = |dest: i64| after.owners(shard(dest)).contains(&OWN);
+    let gained = (0..).find(|&dest| owned_after(dest) && is_new(shard(dest))).unwrap();
+    assert_eq!(ownership.takes(SECOND, gained), Takes::OnHold(SECOND + HOLD));
+    ownership.heard(SECOND + HOLD, SECOND + HOLD, Answer::Unchanged { epoch: 2 }).unwrap();
+    assert_eq!(ownership.takes(SECOND + HOLD, gained), Takes::Yes);
+}
+
+#[test]
+fn what_an_epoch_takes_away_is_refused_at_once_and_kept_until_its_messages_have_ended() {
+    let vacant = list(ListForm { first: true, ..with_vacant(5) });
+    let mut ownership = heard(OWN, &vacant);
+    let step = changes(1, 2, vec![fill(5)]);
+    let after = Table::build(&vacant.apply(&step).unwrap());
+    let owned_after = |dest: i64| after.owners(shard(dest)).contains(&OWN);
+    let dest = (0..).find(|&dest| ownership.takes(0, dest) == Takes::Yes && !owned_after(dest)).unwrap();
+    let heard = ownership.heard(SECOND, SECOND, Answer::Changes(step)).unwrap();
+    assert!(heard.lost.contains(&shard(dest)));
+    assert_eq!(ownership.takes(SECOND, dest), Takes::NotOwner);
+    assert!(ownership.keeps(dest));
+    ownership.heard(SECOND + HOLD, SECOND + HOLD, Answer::Unchanged { epoch: 2 }).unwrap();
+    assert!(!ownership.keeps(dest));
+}
+
+fn with_vacant(seat: usize) -> ListForm {
+    let mut form = fleet(&[3], 6, 1);
+    form.seats[seat].member = None;
+    form
+}
+
+/// A shard that this sender owns in place of a vacant seat: lost while the seat is filled, and then its own again.
+#[test]
+fn what_was_another_s_between_two_epochs_is_new() {
+    let vacant = list(ListForm { first: true, ..with_vacant(5) });
+    let filled = vacant.apply(&changes(1, 2, vec![fill(5)])).unwrap();
+    let (before, between) = (Table::build(&vacant), Table::build(&filled));
+    let lost_between = |shard: ShardId| !between.owners(shard).contains(&OWN);
+    let own = |dest: &i64| before.owners(shard(*dest)).contains(&OWN);
+    let dest = (0..).filter(own).find(|&dest| lost_between(shard(dest))).unwrap();
+    let kept = (0..).filter(own).find(|&dest| !lost_between(shard(dest))).unwrap();
+    let mut ownership = heard(OWN, &vacant);
+    let answer = Answer::Changes(changes(1, 3, vec![fill(5), vacate(5)]));
+    let heard = ownership.heard(SECOND, SECOND, answer).unwrap();
+    assert_eq!((heard.gained.len(), heard.lost.len()), (0, 0));
+    assert_eq!(ownership.takes(SECOND, dest), Takes::OnHold(SECOND + HOLD));
+    assert_eq!(ownership.takes(SECOND, kept), Takes::Yes);
+}
+
+#[test]
+fn own_seat_given_away_and_back_between_two_epochs_makes_all_new() {
+    let members = first_list();
+    let dest = dest_where(&members, |owners| owners.contains(&OWN));
+    let mut ownership = heard(OWN, &members);
+    let answer = Answer::Changes(changes(1, 3, vec![vacate(0), fill(0)]));
+    ownership.heard(SECOND, SECOND, answer).unwrap();
+    assert_eq!(ownership.takes(SECOND, dest), Takes::OnHold(SECOND + HOLD));
+}
+
+#[test]
+fn a_whole_list_makes_all_new_unless_it_is_the_next_one() {
+    let members = first_list();
+    let dest = dest_where(&members, |owners| owners.contains(&OWN));
+    for (epoch, expected) in [(2, Takes::Yes), (3, Takes::OnHold(SECOND + HOLD))] {
+        let mut ownership = heard(OWN, &members);
+        let later = list(ListForm { epoch, first: false, ..first_form() });
+        ownership.heard(SECOND, SECOND, whole(&later)).unwrap();
+        assert_eq!(ownership.takes(SECOND, dest), expected);
+    }
+}
+
+#[test]
+fn too_many_changes_over_several_epochs_make_all_new() {
+    let members = first_list();
+    let dest = dest_where(&members, |owners| owners.contains(&OWN));
+    for (count, expected) in [(MAX_REPLAYED, Takes::Yes), (MAX_REPLAYED + 2, Takes::OnHold(SECOND + HOLD))] {
+        let mut ownership = heard(OWN, &members);
+        let toggled = (0..count).map(|index| if index % 2 == 0 { vacate(5) } else { fill(5) });
+        let answer = Answer::Changes(changes(1, 3, toggled.collect()));
+        ownership.heard(SECOND, SECOND, answer).unwrap();
+        assert_eq!(ownership.takes(SECOND, dest), expected, "{count} changes");
+    }
+}
+
+#[test]
+fn an_owner_serves_and_others_forward_to_the_owners_the_preferred_one_first() {
+    let members = first_list();
+    let dest = dest_where(&members, |owners| owners.contains(&OWN));
+    let owners = Table::build(&members).owners(shard(dest)).to_vec();
+    assert_eq!(heard(OWN, &members).route(0, &request(dest, "r")), Route::Here);
+    let other = (0..6).map(SeatId).find(|seat| !owners.contains(seat)).unwrap();
+    let forwarder = heard(other, &members);
+    assert_eq!(forwarder.takes(0, dest), Takes::NotOwner);
+    let mut preferred_own = 0;
+    for number in 0..1_000 {
+        let id = format!("request-{number}");
+        let Route::Forward(candidates) = forwarder.route(0, &request(dest, &id)) else { panic!() };
+        let mut sorted = candidates.clone();
+        sorted.sort_unstable();
+        let mut expected = owners.clone();
+        expected.sort_unstable();
+        assert_eq!(sorted, expected);
+        assert_eq!(forwarder.route(1, &request(dest, &id)), Route::Forward(candidates.clone()));
+        preferred_own += usize::from(candidates[0] == OWN);
+    }
+    assert!((400..=600).contains(&preferred_own), "{preferred_own} of 1,000 prefer one of two owners");
+}
+
+#[test]
+fn an_ordered_request_has_one_owner_on_every_sender() {
+    let members = first_list();
+    let all: Vec<Ownership> = (0..6).map(|seat| heard(SeatId(seat), &members)).collect();
+    for number in 0..200 {
+        let key = format!("key-{number}");
+        let request = ordered(number, &key);
+        let takers = all.iter().filter(|ownership| ownership.admits(0, &request) == Takes::Yes);
+        let taker = takers.map(|ownership| ownership.seat().unwrap()).collect::<Vec<_>>();
+        assert_eq!(taker.len(), 1);
+        for ownership in &all {
+            let expected =
+                if ownership.seat() == Some(taker[0]) { Route::Here } else { Route::Forward(taker.clone()) };
+            assert_eq!(ownership.route(0, &request), expected);
+        }
+    }
+}
+
+#[test]
+fn an_ordered_request_waits_for_its_owner_also_while_that_one_may_not_take_it() {
+    let members = first_list();
+    let dest = dest_where(&members, |owners| owners.contains(&OWN));
+    let ownership = heard(OWN, &members);
+    let key = key_where(|key| ownership.admits(0, &ordered(dest, key)) == Takes::Yes);
+    assert_eq!(ownership.route(LEASE, &ordered(dest, &key)), Route::Here);
+    assert_eq!(ownership.admits(LEASE, &ordered(dest, &key)), Takes::LeaseExpired);
+}
+
+#[test]
+fn a_key_whose_preference_moves_is_on_hold_and_one_that_stays_is_not() {
+    let members = first_list();
+    let lost = SeatId(5);
+    let dest = dest_where(&members, |owners| owners.contains(&OWN) && owners.contains(&lost));
+    let mut ownership = heard(OWN, &members);
+    let other = heard(lost, &members);
+    let stays = key_where(|key| ownership.admits(0, &ordered(dest, key)) == Takes::Yes);
+    let moves = key_where(|key| {
+        let mut after = ownership.clone();
+        after.heard(0, 0, Answer::Changes(changes(1, 2, vec![vacate(5)]))).unwrap();
+        let was_the_others = other.admits(0, &ordered(dest, key)) == Takes::Yes;
+        was_the_others && after.admits(0, &ordered(dest, key)) != Takes::NotOwner
+    });
+    ownership.heard(SECOND, SECOND, Answer::Changes(changes(1, 2, vec![vacate(5)]))).unwrap();
+    assert_eq!(ownership.takes(SECOND, dest), Takes::Yes);
+    assert_eq!(ownership.admits(SECOND, &ordered(dest, &moves)), Takes::OnHold(SECOND + HOLD));
+    let stayed = ownership.admits(SECOND, &ordered(dest, &stays));
+    assert!(matches!(stayed, Takes::Yes | Takes::NotOwner), "{stayed:?}");
+    ownership.heard(SECOND + HOLD, SECOND + HOLD, Answer::Unchanged { epoch: 2 }).unwrap();
+    assert_eq!(ownership.admits(SECOND + HOLD, &ordered(dest, &moves)), Takes::Yes);
+}
+
+#[test]
+fn a_wide_destination_has_more_owners_new_parts_wait_and_the_share_falls_at_once() {
+    let members = first_list();
+    let dest = 7;
+    let all = (0..6).map(|seat| {
+        let mut ownership = heard(SeatId(seat), &members);
+        assert_eq!(ownership.sharers(0, dest), 2);
+        ownership.heard(SECOND, SECOND, Answer::Changes(changes(1, 2, vec![widen(dest, 8)]))).unwrap();
+        ownership
+    });
+    let all: Vec<Ownership> = all.collect();
+    let table = Table::build(&members);
+    let is_owner = |part: u16, seat: SeatId| table.owners(sub_shard(dest, part)).contains(&seat);
+    for ownership in &all {
+        let seat = ownership.seat().unwrap();
+        let expected = match (is_owner(0, seat), (1..8).any(|part| is_owner(part, seat))) {
+            (true, _) => Takes::Yes,
+            (false, true) => Takes::OnHold(SECOND + HOLD),
+            (false, false) => Takes::NotOwner,
+        };
+        assert_eq!(ownership.takes(SECOND, dest), expected);
+        assert_eq!(ownership.sharers(SECOND, dest), 16);
+    }
+    let mut narrowed = all[0].clone();
+    narrowed.heard(SECOND, 2 * SECOND, Answer::Changes(changes(2, 3, vec![widen(dest, 1)]))).unwrap();
+    assert_eq!(narrowed.sharers(2 * SECOND + HOLD - 1, dest), 16);
+    assert_eq!(narrowed.sharers(2 * SECOND + HOLD, dest), 2);
+}
+
+#[test]
+fn a_key_that_moves_to_another_part_is_on_hold() {
+    let members = first_list();
+    let dest = 7;
+    let step = changes(1, 2, vec![widen(dest, 8)]);
+    let mut moved = 0;
+    for seat in (0..6).map(SeatId) {
+        let before = heard(seat, &members);
+        let mut after = before.clone();
+        after.heard(0, SECOND, Answer::Changes(step.clone())).unwrap();
+        for number in 0..200 {
+            let key = format!("key-{number}");
+            let request = ordered(dest, &key);
+            match after.admits(SECOND, &request) {
+                Takes::Yes => assert_eq!(before.admits(SECOND, &request), Takes::Yes),
+                Takes::OnHold(until) => {
+                    assert_eq!(until, SECOND + HOLD);
+                    moved += 1;
+                }
+                Takes::NotOwner => {}
+                Takes::LeaseExpired => panic!("the lease is valid"),
+            }
+        }
+    }
+    assert!(moved > 100, "{moved} of 200 keys are on hold with their new owner");
+}
+
+#[test]
+fn a_larger_share_waits_until_a_list_with_more_replicas_is_over() {
+    let three = list(ListForm { replicas: 3, ..first_form() });
+    let two = list(ListForm { epoch: 2, first: false, ..first_form() });
+    let mut ownership = heard(OWN, &three);
+    assert_eq!(ownership.sharers(0, 1), 3);
+    ownership.heard(SECOND, SECOND, whole(&two)).unwrap();
+    assert_eq!(ownership.sharers(SECOND + HOLD - 1, 1), 3);
+    assert_eq!(ownership.sharers(SECOND + HOLD, 1), 2);
+}
+
+#[test]
+fn a_process_whose_name_another_address_has_owns_nothing() {
+    let members = first_list();
+    let own_address = member_form(0).address.parse().unwrap();
+    let dest = dest_where(&members, |owners| owners.contains(&OWN));
+    let mut ownership = unheard(OWN).with_address(own_address);
+    ownership.heard(0, 0, whole(&members)).unwrap();
+    assert_eq!(ownership.takes(0, dest), Takes::Yes);
+    let mut replacement = member_form(0);
+    replacement.address = "127.9.9.9:7001".to_string();
+    let replaced = vec![vacate(0), Change::Fill { seat: OWN, member: replacement }];
+    ownership.heard(0, SECOND, Answer::Changes(changes(1, 2, replaced))).unwrap();
+    assert_eq!(ownership.takes(SECOND, dest), Takes::NotOwner);
+    assert_eq!(ownership.seat(), None);
+}
+
+#[test]
+fn a_sender_without_a_seat_forwards() {
+    let members = first_list();
+    let mut ownership = Ownership::new("not-listed", LEASE, DEADLINE);
+    ownership.heard(0, 0, whole(&members)).unwrap();
+    assert!(matches!(ownership.route(0, &request(1, "r")), Route::Forward(owners) if owners.len() == 2));
+    assert_eq!(ownership.takes(0, 1), Takes::NotOwner);
+    assert!(!ownership.keeps(1));
+}
+
+#[test]
+fn an_appended_seat_s_member_waits_and_takes_over_after_the_hold() {
+    let members = first_list();
+    let joined = seat_form(0, 0, 9, Some(6));
+    let mut ownership = unheard(SeatId(6));
+    ownership.heard(0, 0, whole(&members)).unwrap();
+    assert_eq!(ownership.seat(), None);
+    let step = changes(1, 2, vec![Change::Append(joined)]);
+    let heard = ownership.heard(SECOND, SECOND, Answer::Changes(step)).unwrap();
+    assert_eq!(ownership.seat(), Some(SeatId(6)));
+    assert!(!heard.gained.is_empty());
+    let after = ownership.list().unwrap().clone();
+    let dest = dest_where(&after, |owners| owners.contains(&SeatId(6)));
+    assert_eq!(ownership.takes(SECOND, dest), Takes::OnHold(SECOND + HOLD));
+}
