Placement: histories of a fleet in simulated time, judged by a ledger

Need: no rule of ownership is worth more than the histories that it survives.

Change: tests/histories.rs plays 3 to 40 hollow senders with the real Ownership and Forwarding through late epochs, splits, kills, stops, cut connections, delayed, doubled, older and forged answers; a ledger that knows nothing of the code judges losses, double effects, order, shares and leases.

The first histories found two faults, mended here: a restarted sender called with the whole limit before it heard a list (it now remembers among how many owners it shared, and refuses an older epoch); a seat that was vacated while a request was on its way had no stated outcome (never sent).

--- a/crates/placement/src/forwarding.rs
+++ b/crates/placement/src/forwarding.rs
@@ -9,7 +9,7 @@
 //! | `+OK` | [`Outcome::Taken`] | the client is told so |
 //! | `-BUSY ms` | [`Outcome::Busy`] | next candidate; after the last, busy with the least wait told |
 //! | `-ERR` | [`Outcome::Wrong`] | the client is told so |
-//! | refused, not connected in time, closed before the first byte | [`Outcome::NeverSent`] | next candidate |
+//! | refused, not connected in time, closed before the first byte, the seat is vacant by now | [`Outcome::NeverSent`] | next candidate |
 //! | after the first byte: timeout, reset, close, an unreadable answer | [`Outcome::Unknown`] | [`Effect::Free`]: next candidate; otherwise failed at once |
 //!
 //! An owner that is down is never sent the request, one that is full or on another epoch answers busy, one that is stopped or
--- a/crates/placement/src/holds.rs
+++ b/crates/placement/src/holds.rs
@@ -180,12 +180,35 @@
         }
     }
 
+    /// Takes over what the last run remembered.
+    pub(crate) fn restore(&mut self, replicas: usize, wide: &BTreeMap<i64, u16>, until: Micros) {
+        self.replicas.push(Former { value: replicas, until });
+        for (&dest, &width) in wide {
+            self.widths.entry(dest).or_default().push(Former { value: width, until });
+        }
+    }
+
     /// The greatest number of owners among which the limit may be shared at `now`, with `list` in force.
     pub(crate) fn greatest(&self, list: &MemberList, dest: i64, now: Micros) -> usize {
-        let replicas = self.replicas.iter().filter(|former| now < former.until).map(|former| former.value);
-        let widths = self.widths_of(dest, now).map(|former| former.value);
-        let greatest_replicas = replicas.fold(list.replicas(), usize::max);
-        greatest_replicas * usize::from(widths.fold(list.width(dest), u16::max))
+        let width = self.greatest_width(dest, list.width(dest), now);
+        self.replicas(list.replicas(), now) * usize::from(width)
+    }
+
+    /// The greatest number of replicas, `present` included.
+    pub(crate) fn replicas(&self, present: usize, now: Micros) -> usize {
+        let former = self.replicas.iter().filter(|former| now < former.until);
+        former.map(|former| former.value).fold(present, usize::max)
+    }
+
+    /// Destinations that are or were wide, with their greatest width.
+    pub(crate) fn wide(&self, list: &MemberList, now: Micros) -> BTreeMap<i64, u16> {
+        let dests = self.widths.keys().copied().chain(list.wide().map(|(dest, _)| dest));
+        let widths = dests.map(|dest| (dest, self.greatest_width(dest, list.width(dest), now)));
+        widths.filter(|&(_, width)| width > 1).collect()
+    }
+
+    fn greatest_width(&self, dest: i64, present: u16, now: Micros) -> u16 {
+        self.widths_of(dest, now).map(|former| former.value).fold(present, u16::max)
     }
 
     /// Until when a part of a destination is on hold, as the destination did not have it.
--- a/crates/placement/src/ownership.rs
+++ b/crates/placement/src/ownership.rs
@@ -32,6 +32,7 @@
 //! epoch can't spread a key. The price: while its preferred owner is down, a key waits until an epoch without that
 //! owner has been told and the hold is over.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -41,7 +42,7 @@
 use crate::error::ListError;
 use crate::holds::{Difference, FormerSharers, Holds, Seated};
 use crate::lease::{Lease, LeaseTimes};
-use crate::list::{MemberList, SeatId};
+use crate::list::{MAX_REPLICAS, MemberList, SeatId};
 use crate::placement::{Placement, Placements, Unshared};
 use crate::preference::{Request, by_preference, part, preferred};
 use crate::shard::{ShardId, sub_shard};
@@ -88,13 +89,19 @@
     pub lost: Vec<ShardId>,
 }
 
-/// What the state folder remembers of an epoch in which nothing was on hold any more.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+/// What the state folder remembers of a process's last run.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Remembered {
-    /// The epoch.
+    /// The epoch in force.
     pub epoch: u64,
     /// [`MemberList::digest`] of its list.
     pub digest: u64,
+    /// Whether nothing was on hold any more.
+    pub settled: bool,
+    /// The greatest number of replicas among which limits were shared.
+    pub replicas: usize,
+    /// Destinations that were wide, with their greatest width.
+    pub wide: BTreeMap<i64, u16>,
 }
 
 /// The placement in force, and this sender's seat in it.
@@ -222,11 +229,17 @@
         self.holds.end(now).max(self.former_sharers.end(now))
     }
 
-    /// What the state folder is to remember: only an epoch in which nothing is on hold.
-    pub fn settled(&self, now: Micros) -> Option<Remembered> {
+    /// What the state folder is to remember. It is written whenever it is another than before; where replicas or widths
+    /// change, before anything is done under the new list.
+    pub fn remembered(&self, now: Micros) -> Option<Remembered> {
         let list = self.list()?;
-        let memory = Remembered { epoch: list.epoch(), digest: list.digest() };
-        self.on_hold(now).is_none().then_some(memory)
+        Some(Remembered {
+            epoch: list.epoch(),
+            digest: list.digest(),
+            settled: self.on_hold(now).is_none(),
+            replicas: self.former_sharers.replicas(list.replicas(), now),
+            wide: self.former_sharers.wide(list, now),
+        })
     }
 
     /// Where a client's request goes. What comes from another sender is never routed: [`Self::admits`] serves or refuses it.
@@ -291,9 +304,13 @@
     }
 
     /// Among how many owners a destination's limit is shared: this sender's share is one part in so many. While an epoch with
-    /// more owners may still be acted upon, it is that number.
+    /// more owners may still be acted upon, it is that number; before the first list, the last run's.
     pub fn sharers(&self, now: Micros, dest: i64) -> usize {
-        self.list().map_or(1, |list| self.former_sharers.greatest(list, dest, now))
+        match (self.list(), &self.remembered) {
+            (Some(list), _) => self.former_sharers.greatest(list, dest, now),
+            (None, Some(last)) => last.replicas * usize::from(last.wide.get(&dest).copied().unwrap_or(1)),
+            (None, None) => MAX_REPLICAS,
+        }
     }
 
     fn under_lease(&self, now: Micros, held: Option<Micros>) -> Takes {
@@ -323,7 +340,7 @@
         list: MemberList,
     ) -> Result<Heard, ListError> {
         let Some(view) = &self.view else {
-            self.hold_first(now, &list);
+            self.hold_first(now, &list)?;
             return Ok(self.put_in_force(placements.build(list)));
         };
         let epoch = view.placement.list().epoch();
@@ -342,11 +359,20 @@
     }
 
     /// The first list of this process: what it says is new, unless the last run had settled in it or nobody came before.
-    fn hold_first(&mut self, now: Micros, list: &MemberList) {
-        let as_remembered = Remembered { epoch: list.epoch(), digest: list.digest() };
-        if !list.is_first() && self.remembered != Some(as_remembered) {
-            self.holds.hold_all(self.held_until(now));
+    fn hold_first(&mut self, now: Micros, list: &MemberList) -> Result<(), ListError> {
+        let until = self.held_until(now);
+        if let Some(last) = &self.remembered {
+            if list.epoch() < last.epoch {
+                return Err(ListError::StaleEpoch { current: last.epoch, offered: list.epoch() });
+            }
+            self.former_sharers.restore(last.replicas, &last.wide, until);
+        }
+        let settled =
+            |last: &Remembered| last.settled && last.epoch == list.epoch() && last.digest == list.digest();
+        if !list.is_first() && !self.remembered.as_ref().is_some_and(settled) {
+            self.holds.hold_all(until);
         }
+        Ok(())
     }
 
     fn take_changes(
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -12,7 +12,7 @@
 #[derive(Clone, Debug)]
 pub struct Placement {
     list: MemberList,
-    table: Table,
+    table: Arc<Table>,
     /// In models: the only shards that are looked at.
     focus: Option<Arc<[ShardId]>>,
 }
@@ -20,7 +20,12 @@
 impl Placement {
     /// The placement of a list; takes as long as [`Table::build`].
     pub fn build(list: MemberList) -> Self {
-        let table = Table::build(&list);
+        let table = Arc::new(Table::build(&list));
+        Placement::from_parts(list, table)
+    }
+
+    /// The placement of a list whose table is at hand; a table of another list makes it wrong.
+    pub fn from_parts(list: MemberList, table: Arc<Table>) -> Self {
         Placement { list, table, focus: None }
     }
 
@@ -38,9 +43,9 @@
     /// Changes that don't fit the list, see [`MemberList::apply`].
     pub fn apply(&self, changes: &Changes) -> Result<Self, ListError> {
         let list = self.list.apply(changes)?;
-        let mut table = self.table.clone();
+        let mut table = Table::clone(&self.table);
         table.apply(&list, changes);
-        Ok(Placement { list, table, focus: self.focus.clone() })
+        Ok(Placement { list, table: Arc::new(table), focus: self.focus.clone() })
     }
 
     /// The member list.
--- /dev/null
+++ b/crates/placement/tests/history/world.rs
@@ -0,0 +1,223 @@
+//! The member lists of a history, epoch after epoch, and their tables, which all senders share.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex};
+
+use embershore_placement::wire::{ListForm, MemberForm, RegionForm, SeatForm, WideForm};
+use embershore_placement::{
+    Change, Changes, ListError, MemberList, Placement, Placements, SeatId, ShardId, Table, sub_shard,
+};
+use rand::prelude::*;
+use rand_chacha::ChaCha8Rng;
+
+/// Destinations of a history.
+pub const DESTINATIONS: usize = 6;
+/// Members that fill no seat at first.
+const SPARE_MEMBERS: usize = 3;
+/// Epochs after the first.
+const LATER_EPOCHS: usize = 8;
+const GREATEST_WIDTH: u16 = 8;
+/// A multiple of the golden ratio sets destinations of different worlds apart.
+const DEST_STRIDE: i64 = 7_919;
+
+/// Lists by epoch, from 1 on, and how each follows from the one before.
+pub struct World {
+    pub lists: Vec<MemberList>,
+    /// The changes that led to each list; none for the first and for those that can only be told whole.
+    pub changes: Vec<Option<Changes>>,
+    pub dests: Vec<i64>,
+    pub members: usize,
+    pub regions: usize,
+    tables: Mutex<HashMap<u64, Arc<Table>>>,
+    focus: Arc<[ShardId]>,
+}
+
+/// The member's name; the number is its place in the model.
+pub fn member_name(number: usize) -> String {
+    format!("n{number}")
+}
+
+/// The number in a member's name.
+pub fn member_number(name: &str) -> usize {
+    name[1..].parse().expect("a name of this world")
+}
+
+fn member_form(number: usize) -> MemberForm {
+    MemberForm { name: member_name(number), address: format!("127.0.0.1:{}", 7_000 + number) }
+}
+
+impl World {
+    pub fn generate(number: u64) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(number);
+        let form = first_form(&mut rng, number);
+        let seats = form.seats.len();
+        let dests: Vec<i64> =
+            (0..DESTINATIONS as i64).map(|dest| dest + number as i64 * DEST_STRIDE).collect();
+        let parts = dests.iter().flat_map(|&dest| (0..GREATEST_WIDTH).map(move |part| sub_shard(dest, part)));
+        let mut world = World {
+            regions: form.regions.len(),
+            lists: vec![MemberList::from_form(form).expect("a list that holds")],
+            changes: vec![None],
+            focus: parts.collect(),
+            dests,
+            members: seats + SPARE_MEMBERS,
+            tables: Mutex::default(),
+        };
+        world.add_epochs(&mut rng, number);
+        world
+    }
+
+    /// The latest list under its epoch.
+    pub fn list(&self, epoch: u64) -> &MemberList {
+        &self.lists[epoch as usize - 1]
+    }
+
+    /// All changes between two epochs, in order, if they can be told as changes.
+    pub fn changes_between(&self, since: u64, epoch: u64) -> Option<Changes> {
+        let steps = &self.changes[since as usize..epoch as usize];
+        let all: Option<Vec<Vec<Change>>> =
+            steps.iter().map(|step| step.as_ref().map(|changes| changes.changes.clone())).collect();
+        all.map(|all| Changes { epoch, since, changes: all.concat() })
+    }
+
+    /// Another list under the same epoch.
+    pub fn forged(&self, epoch: u64) -> MemberList {
+        let mut form = self.list(epoch).to_form();
+        form.seats[0].weight += 1.0;
+        MemberList::from_form(form).expect("a list that holds")
+    }
+
+    fn add_epochs(&mut self, rng: &mut ChaCha8Rng, number: u64) {
+        let mut before = Shared(self).build(self.lists[0].clone());
+        let whole_at = (number.is_multiple_of(3)).then(|| rng.random_range(1..=LATER_EPOCHS));
+        for step in 1..=LATER_EPOCHS {
+            if whole_at == Some(step)
+                && let Some(list) = with_other_replicas(before.list())
+            {
+                before = Shared(self).build(list.clone());
+                self.lists.push(list);
+                self.changes.push(None);
+                continue;
+            }
+            let changes = self.random_changes(rng, &before);
+            before = Shared(self).apply(&before, &changes).expect("checked when it was made");
+            self.lists.push(before.list().clone());
+            self.changes.push(Some(changes));
+        }
+    }
+
+    /// One to three changes that fit the list.
+    fn random_changes(&self, rng: &mut ChaCha8Rng, before: &Placement) -> Changes {
+        let since = before.list().epoch();
+        let mut changes = Changes { epoch: since + 1, since, changes: Vec::new() };
+        let wanted = rng.random_range(1..=3);
+        while changes.changes.len() < wanted {
+            let present = before.list().apply(&changes).unwrap_or_else(|_| before.list().clone());
+            let Some(change) = self.random_change(rng, before, &present) else { continue };
+            changes.changes.push(change);
+            if before.list().apply(&changes).is_err() {
+                changes.changes.pop();
+            }
+        }
+        changes
+    }
+
+    fn random_change(
+        &self,
+        rng: &mut ChaCha8Rng,
+        before: &Placement,
+        present: &MemberList,
+    ) -> Option<Change> {
+        let spare = (0..self.members).filter(|&member| present.seat_of(&member_name(member)).is_none());
+        let spare = spare.choose(rng).map(member_form);
+        match rng.random_range(0..10) {
+            0..4 => {
+                let dest = *self.dests.choose(rng)?;
+                let seat = *before.owners(sub_shard(dest, 0)).choose(rng)?;
+                Some(Change::Vacate { seat })
+            }
+            4..7 => {
+                let vacant = present.seat_ids().filter(|&seat| present.member(seat).is_none());
+                Some(Change::Fill { seat: vacant.choose(rng)?, member: spare? })
+            }
+            7..9 => {
+                let like = SeatId(rng.random_range(0..present.seat_count()) as u16);
+                let mut form = present.to_form().seats.swap_remove(like.index());
+                form.rack = format!("new{}", present.seat_count());
+                Some(Change::Append(SeatForm { member: spare, ..form }))
+            }
+            _ => {
+                let width = rng.random_range(1..=u64::from(GREATEST_WIDTH));
+                Some(Change::Widen(WideForm { dest: *self.dests.choose(rng)?, width }))
+            }
+        }
+    }
+}
+
+fn first_form(rng: &mut ChaCha8Rng, number: u64) -> ListForm {
+    let regions = rng.random_range(1..=2);
+    let zones = rng.random_range(2..=3);
+    let seats = if number.is_multiple_of(4) { rng.random_range(3..=6) } else { rng.random_range(6..=40) };
+    let seats = if regions == 2 { seats.max(6) } else { seats };
+    let seat = |index: usize| SeatForm {
+        region: format!("r{}", index % regions),
+        zone: format!("z{}", index / regions % zones),
+        rack: format!("k{}", index / 6),
+        weight: 1.0,
+        member: Some(member_form(index)),
+    };
+    ListForm {
+        epoch: 1,
+        scheme: 1,
+        replicas: if number % 5 == 4 { 3 } else { 2 },
+        first: number % 4 != 1,
+        regions: (0..regions).map(|region| RegionForm { name: format!("r{region}"), share: 1 }).collect(),
+        seats: (0..seats).map(seat).collect(),
+        wide: Vec::new(),
+    }
+}
+
+/// The next list, with one replica more or less.
+fn with_other_replicas(list: &MemberList) -> Option<MemberList> {
+    let mut form = list.to_form();
+    form.epoch += 1;
+    form.first = false;
+    form.replicas = if form.replicas == 2 { 3 } else { 2 };
+    MemberList::from_form(form).ok()
+}
+
+/// The placements of a world: each table is made once.
+pub struct Shared<'a>(pub &'a World);
+
+impl Shared<'_> {
+    fn table(&self, list: &MemberList, make: impl FnOnce() -> Table) -> Arc<Table> {
+        let digest = list.digest();
+        let known = self.0.tables.lock().expect("nobody fails while it is locked").get(&digest).cloned();
+        known.unwrap_or_else(|| {
+            let table = Arc::new(make());
+            let mut tables = self.0.tables.lock().expect("nobody fails while it is locked");
+            tables.entry(digest).or_insert(table).clone()
+        })
+    }
+
+    fn placement(&self, list: MemberList, table: Arc<Table>) -> Arc<Placement> {
+        Arc::new(Placement::from_parts(list, table).with_focus(self.0.focus.clone()))
+    }
+}
+
+impl Placements for Shared<'_> {
+    fn build(&mut self, list: MemberList) -> Arc<Placement> {
+        let table = self.table(&list, || Table::build(&list));
+        self.placement(list, table)
+    }
+
+    fn apply(&mut self, before: &Arc<Placement>, changes: &Changes) -> Result<Arc<Placement>, ListError> {
+        let list = before.list().apply(changes)?;
+        let table = self.table(&list, || {
+            let mut table = before.table().clone();
+            table.apply(&list, changes);
+            table
+        });
+        Ok(self.placement(list, table))
+    }
+}
--- a/crates/placement/tests/ownership.rs
+++ b/crates/placement/tests/ownership.rs
@@ -2,10 +2,12 @@
 
 mod support;
 
+use std::collections::BTreeMap;
+
 use embershore_placement::wire::{ListForm, WideForm};
 use embershore_placement::{
-    Answer, Change, Changes, ListError, MAX_REPLAYED, MemberList, Ownership, Remembered, Request, Route,
-    SeatId, ShardId, Table, Takes, shard, sub_shard,
+    Answer, Change, Changes, ListError, MAX_REPLAYED, MAX_REPLICAS, MemberList, Ownership, Remembered,
+    Request, Route, SeatId, ShardId, Table, Takes, shard, sub_shard,
 };
 use heronroute::Micros;
 use support::{fleet, list, member_form, seat_form};
@@ -81,7 +83,7 @@
     assert_eq!(ownership.route(0, &request(1, "r")), Route::Unknown);
     assert_eq!(ownership.takes(0, 1), Takes::LeaseExpired);
     assert_eq!(ownership.admits(0, &ordered(1, "k")), Takes::LeaseExpired);
-    assert_eq!(ownership.settled(0), None);
+    assert_eq!(ownership.remembered(0), None);
     assert!(!ownership.keeps(1));
 }
 
@@ -91,7 +93,8 @@
     let dest = dest_where(&started_earlier, |owners| owners.contains(&OWN));
     let mut ownership = heard(OWN, &started_earlier);
     assert_eq!(ownership.takes(1, dest), Takes::OnHold(HOLD));
-    assert_eq!(ownership.settled(HOLD - 1), None);
+    assert!(!ownership.remembered(HOLD - 1).unwrap().settled);
+    assert!(ownership.remembered(HOLD).unwrap().settled);
     ownership.heard(HOLD - 1, HOLD - 1, Answer::Unchanged { epoch: 1 }).unwrap();
     assert_eq!(ownership.takes(HOLD - 1, dest), Takes::OnHold(HOLD));
     assert_eq!(ownership.takes(HOLD, dest), Takes::Yes);
@@ -105,27 +108,29 @@
     assert!(until >= 35 * SECOND, "{until}");
 }
 
+fn memory(epoch: u64, digest: u64) -> Remembered {
+    Remembered { epoch, digest, settled: true, replicas: 2, wide: BTreeMap::new() }
+}
+
 #[test]
 fn a_new_fleet_and_a_settled_sender_that_restarts_wait_for_nobody() {
     let new_fleet = first_list();
     let dest = dest_where(&new_fleet, |owners| owners.contains(&OWN));
     assert_eq!(heard(OWN, &new_fleet).takes(1, dest), Takes::Yes);
     let running = list(fleet(&[3], 6, 1));
-    let memory = Remembered { epoch: 1, digest: running.digest() };
-    let mut restarted = unheard(OWN).with_memory(Some(memory));
+    let memory = memory(1, running.digest());
+    let mut restarted = unheard(OWN).with_memory(Some(memory.clone()));
     restarted.heard(0, 0, whole(&running)).unwrap();
     assert_eq!(restarted.takes(1, dest), Takes::Yes);
-    assert_eq!(restarted.settled(1), Some(memory));
+    assert!(restarted.remembered(HOLD).unwrap().settled);
 }
 
 #[test]
 fn what_the_state_folder_remembers_counts_for_that_list_alone() {
     let running = list(fleet(&[3], 6, 1));
     let dest = dest_where(&running, |owners| owners.contains(&OWN));
-    for memory in [
-        Remembered { epoch: 2, digest: running.digest() },
-        Remembered { epoch: 1, digest: running.digest() ^ 1 },
-    ] {
+    let unsettled = Remembered { settled: false, ..memory(1, running.digest()) };
+    for memory in [memory(0, running.digest()), memory(1, running.digest() ^ 1), unsettled] {
         let mut restarted = unheard(OWN).with_memory(Some(memory));
         restarted.heard(0, 0, whole(&running)).unwrap();
         assert_eq!(restarted.takes(1, dest), Takes::OnHold(HOLD));
@@ -427,6 +432,26 @@
     assert_eq!(ownership.sharers(SECOND + HOLD, 1), 2);
 }
 
+#[test]
+fn a_restarted_sender_keeps_the_smaller_share_of_its_last_run() {
+    let members = list(fleet(&[3], 6, 1));
+    let last = Remembered { replicas: 3, wide: BTreeMap::from([(7, 4)]), ..memory(1, members.digest()) };
+    let mut restarted = unheard(OWN).with_memory(Some(last));
+    assert_eq!((restarted.sharers(0, 1), restarted.sharers(0, 7)), (3, 12));
+    restarted.heard(0, 0, whole(&members)).unwrap();
+    assert_eq!((restarted.sharers(HOLD - 1, 1), restarted.sharers(HOLD - 1, 7)), (3, 12));
+    assert_eq!((restarted.sharers(HOLD, 1), restarted.sharers(HOLD, 7)), (2, 2));
+    assert_eq!(unheard(OWN).sharers(0, 1), MAX_REPLICAS);
+}
+
+#[test]
+fn a_restarted_sender_refuses_an_epoch_before_its_last() {
+    let mut restarted = unheard(OWN).with_memory(Some(memory(2, 0)));
+    let refused = restarted.heard(0, 0, whole(&first_list()));
+    assert_eq!(refused, Err(ListError::StaleEpoch { current: 2, offered: 1 }));
+    assert!(!restarted.lease_valid(0));
+}
+
 #[test]
 fn a_process_whose_name_another_address_has_owns_nothing() {
     let members = first_list();
