Placement: the tests of ownership share tables

Need: each test built its own tables, a second each.

Change: tests/support/tables.rs makes each list's table once for all senders of a test.

--- a/crates/placement/tests/histories.rs
+++ b/crates/placement/tests/histories.rs
@@ -2,6 +2,8 @@
 //! has its effect twice, keys keep their order, and shares never add up past a destination's limit.
 
 mod history;
+#[path = "support/tables.rs"]
+mod tables;
 
 use std::ops::Range;
 
--- a/crates/placement/tests/history/model.rs
+++ b/crates/placement/tests/history/model.rs
@@ -12,7 +12,7 @@
 
 use super::ledger::{Ledger, Message};
 use super::network::{Course, Fault, HEALED_AT};
-use super::world::{Shared, World, member_name, member_number};
+use super::world::{World, member_name, member_number};
 use super::{AGENT_LAG, DEADLINE, LEASE, LONGEST_CALL, MILLISECOND, SECOND};
 
 const CLIENTS_STOP_AT: Micros = 70 * SECOND;
@@ -358,7 +358,7 @@
             member.lease_until = member.lease_until.max(Some(asked_at + LEASE));
             member.heard_epoch = epoch;
         }
-        match member.ownership.heard_with(&mut Shared(world), asked_at, local, answer) {
+        match member.ownership.heard_with(&mut &world.tables, asked_at, local, answer) {
             Ok(_) => {
                 let skipped = before.is_some_and(|before| epoch > before + 1);
                 self.ledger.counts.epochs_skipped += u64::from(skipped);
--- a/crates/placement/tests/history/world.rs
+++ b/crates/placement/tests/history/world.rs
@@ -1,15 +1,12 @@
 //! The member lists of a history, epoch after epoch, and their tables, which all senders share.
 
-use std::collections::HashMap;
-use std::sync::{Arc, Mutex};
-
 use embershore_placement::wire::{ListForm, MemberForm, RegionForm, SeatForm, WideForm};
-use embershore_placement::{
-    Change, Changes, ListError, MemberList, Placement, Placements, SeatId, ShardId, Table, sub_shard,
-};
+use embershore_placement::{Change, Changes, MemberList, Placement, Placements, SeatId, sub_shard};
 use rand::prelude::*;
 use rand_chacha::ChaCha8Rng;
 
+use crate::tables::SharedTables;
+
 /// Destinations of a history.
 pub const DESTINATIONS: usize = 6;
 /// Members that fill no seat at first.
@@ -28,8 +25,7 @@
     pub dests: Vec<i64>,
     pub members: usize,
     pub regions: usize,
-    tables: Mutex<HashMap<u64, Arc<Table>>>,
-    focus: Arc<[ShardId]>,
+    pub tables: SharedTables,
 }
 
 /// The member's name; the number is its place in the model.
@@ -58,10 +54,9 @@
             regions: form.regions.len(),
             lists: vec![MemberList::from_form(form).expect("a list that holds")],
             changes: vec![None],
-            focus: parts.collect(),
+            tables: SharedTables::new(Some(parts.collect())),
             dests,
             members: seats + SPARE_MEMBERS,
-            tables: Mutex::default(),
         };
         world.add_epochs(&mut rng, number);
         world
@@ -88,19 +83,19 @@
     }
 
     fn add_epochs(&mut self, rng: &mut ChaCha8Rng, number: u64) {
-        let mut before = Shared(self).build(self.lists[0].clone());
+        let mut before = (&self.tables).build(self.lists[0].clone());
         let whole_at = (number.is_multiple_of(3)).then(|| rng.random_range(1..=LATER_EPOCHS));
         for step in 1..=LATER_EPOCHS {
             if whole_at == Some(step)
                 && let Some(list) = with_other_replicas(before.list())
             {
-                before = Shared(self).build(list.clone());
+                before = (&self.tables).build(list.clone());
                 self.lists.push(list);
                 self.changes.push(None);
                 continue;
             }
             let changes = self.random_changes(rng, &before);
-            before = Shared(self).apply(&before, &changes).expect("checked when it was made");
+            before = (&self.tables).apply(&before, &changes).expect("checked when it was made");
             self.lists.push(before.list().clone());
             self.changes.push(Some(changes));
         }
@@ -185,39 +180,3 @@
     form.replicas = if form.replicas == 2 { 3 } else { 2 };
     MemberList::from_form(form).ok()
 }
-
-/// The placements of a world: each table is made once.
-pub struct Shared<'a>(pub &'a World);
-
-impl Shared<'_> {
-    fn table(&self, list: &MemberList, make: impl FnOnce() -> Table) -> Arc<Table> {
-        let digest = list.digest();
-        let known = self.0.tables.lock().expect("nobody fails while it is locked").get(&digest).cloned();
-        known.unwrap_or_else(|| {
-            let table = Arc::new(make());
-            let mut tables = self.0.tables.lock().expect("nobody fails while it is locked");
-            tables.entry(digest).or_insert(table).clone()
-        })
-    }
-
-    fn placement(&self, list: MemberList, table: Arc<Table>) -> Arc<Placement> {
-        Arc::new(Placement::from_parts(list, table).with_focus(self.0.focus.clone()))
-    }
-}
-
-impl Placements for Shared<'_> {
-    fn build(&mut self, list: MemberList) -> Arc<Placement> {
-        let table = self.table(&list, || Table::build(&list));
-        self.placement(list, table)
-    }
-
-    fn apply(&mut self, before: &Arc<Placement>, changes: &Changes) -> Result<Arc<Placement>, ListError> {
-        let list = before.list().apply(changes)?;
-        let table = self.table(&list, || {
-            let mut table = before.table().clone();
-            table.apply(&list, changes);
-            table
-        });
-        Ok(self.placement(list, table))
-    }
-}
--- a/crates/placement/tests/ownership.rs
+++ b/crates/placement/tests/ownership.rs
@@ -1,16 +1,36 @@
 //! One sender's view: leases, holds, routes, and answers that are refused.
 
 mod support;
+#[path = "support/tables.rs"]
+mod tables;
 
 use std::collections::BTreeMap;
+use std::sync::{Arc, LazyLock};
 
 use embershore_placement::wire::{ListForm, WideForm};
 use embershore_placement::{
-    Answer, Change, Changes, ListError, MAX_REPLAYED, MAX_REPLICAS, MemberList, Ownership, Remembered,
+    Answer, Change, Changes, Heard, ListError, MAX_REPLAYED, MAX_REPLICAS, MemberList, Ownership, Remembered,
     Request, Route, SeatId, ShardId, Table, Takes, shard, sub_shard,
 };
 use heronroute::Micros;
 use support::{fleet, list, member_form, seat_form};
+use tables::SharedTables;
+
+static TABLES: LazyLock<SharedTables> = LazyLock::new(|| SharedTables::new(None));
+
+fn table(list: &MemberList) -> Arc<Table> {
+    TABLES.table(list)
+}
+
+/// An answer reaches a sender.
+fn hear(
+    ownership: &mut Ownership,
+    asked_at: Micros,
+    now: Micros,
+    answer: Answer,
+) -> Result<Heard, ListError> {
+    ownership.heard_with(&mut &*TABLES, asked_at, now, answer)
+}
 
 const SECOND: Micros = 1_000_000;
 const LEASE: Micros = 10 * SECOND;
@@ -38,7 +58,7 @@
 /// The member of a seat, which heard this list at 0.
 fn heard(seat: SeatId, list: &MemberList) -> Ownership {
     let mut ownership = unheard(seat);
-    ownership.heard(0, 0, whole(list)).unwrap();
+    hear(&mut ownership, 0, 0, whole(list)).unwrap();
     ownership
 }
 
@@ -68,7 +88,7 @@
 
 /// The first destination whose owners are as wanted.
 fn dest_where(list: &MemberList, wanted: impl Fn(&[SeatId]) -> bool) -> i64 {
-    let table = Table::build(list);
+    let table = table(list);
     (0..100_000).find(|&dest| wanted(table.owners(shard(dest)))).expect("such a destination")
 }
 
@@ -95,7 +115,7 @@
     assert_eq!(ownership.takes(1, dest), Takes::OnHold(HOLD));
     assert!(!ownership.remembered(HOLD - 1).unwrap().settled);
     assert!(ownership.remembered(HOLD).unwrap().settled);
-    ownership.heard(HOLD - 1, HOLD - 1, Answer::Unchanged { epoch: 1 }).unwrap();
+    hear(&mut ownership, HOLD - 1, HOLD - 1, Answer::Unchanged { epoch: 1 }).unwrap();
     assert_eq!(ownership.takes(HOLD - 1, dest), Takes::OnHold(HOLD));
     assert_eq!(ownership.takes(HOLD, dest), Takes::Yes);
 }
@@ -103,7 +123,7 @@
 #[test]
 fn an_agent_that_may_be_behind_makes_the_hold_longer() {
     let mut ownership = unheard(OWN).with_agent_lag(5 * SECOND);
-    ownership.heard(0, 0, whole(&list(fleet(&[3], 6, 1)))).unwrap();
+    hear(&mut ownership, 0, 0, whole(&list(fleet(&[3], 6, 1)))).unwrap();
     let until = ownership.on_hold(1).unwrap();
     assert!(until >= 35 * SECOND, "{until}");
 }
@@ -120,7 +140,7 @@
     let running = list(fleet(&[3], 6, 1));
     let memory = memory(1, running.digest());
     let mut restarted = unheard(OWN).with_memory(Some(memory.clone()));
-    restarted.heard(0, 0, whole(&running)).unwrap();
+    hear(&mut restarted, 0, 0, whole(&running)).unwrap();
     assert_eq!(restarted.takes(1, dest), Takes::Yes);
     assert!(restarted.remembered(HOLD).unwrap().settled);
 }
@@ -132,7 +152,7 @@
     let unsettled = Remembered { settled: false, ..memory(1, running.digest()) };
     for memory in [memory(0, running.digest()), memory(1, running.digest() ^ 1), unsettled] {
         let mut restarted = unheard(OWN).with_memory(Some(memory));
-        restarted.heard(0, 0, whole(&running)).unwrap();
+        hear(&mut restarted, 0, 0, whole(&running)).unwrap();
         assert_eq!(restarted.takes(1, dest), Takes::OnHold(HOLD));
     }
 }
@@ -142,7 +162,7 @@
     let members = first_list();
     let dest = dest_where(&members, |owners| owners.contains(&OWN));
     let mut ownership = heard(OWN, &members);
-    ownership.heard(4 * SECOND, 9 * SECOND, Answer::Unchanged { epoch: 1 }).unwrap();
+    hear(&mut ownership, 4 * SECOND, 9 * SECOND, Answer::Unchanged { epoch: 1 }).unwrap();
     assert_eq!(ownership.takes(14 * SECOND - 1, dest), Takes::Yes);
     assert_eq!(ownership.takes(14 * SECOND, dest), Takes::LeaseExpired);
     assert_eq!(ownership.admits(14 * SECOND, &request(dest, "r")), Takes::LeaseExpired);
@@ -156,7 +176,7 @@
 fn answers_that_do_not_fit_are_refused_and_renew_nothing() {
     let members = first_list();
     let mut ownership = heard(OWN, &members);
-    ownership.heard(0, 0, Answer::Changes(changes(1, 2, vec![vacate(5)]))).unwrap();
+    hear(&mut ownership, 0, 0, Answer::Changes(changes(1, 2, vec![vacate(5)]))).unwrap();
     let digest = ownership.list().unwrap().digest();
     let other = list(ListForm { epoch: 2, ..fleet(&[3], 7, 1) });
     let stale = ListError::StaleEpoch { current: 2, offered: 1 };
@@ -170,7 +190,7 @@
         (Answer::Changes(changes(2, 3, vec![vacate(5)])), ListError::SeatVacant { seat: 5 }),
     ];
     for (answer, error) in refused {
-        assert_eq!(ownership.heard(9 * SECOND, 9 * SECOND, answer), Err(error));
+        assert_eq!(hear(&mut ownership, 9 * SECOND, 9 * SECOND, answer), Err(error));
         assert_eq!(ownership.epoch(), Some(2));
         assert_eq!(ownership.list().unwrap().digest(), digest);
         assert!(!ownership.lease_valid(LEASE));
@@ -182,10 +202,10 @@
     let members = first_list();
     let mut ownership = heard(OWN, &members);
     let step = changes(1, 2, vec![vacate(5)]);
-    assert!(ownership.heard(0, 0, Answer::Changes(step.clone())).unwrap().changed);
+    assert!(hear(&mut ownership, 0, 0, Answer::Changes(step.clone())).unwrap().changed);
     let on_hold = ownership.on_hold(1);
     for answer in [Answer::Changes(step), whole(&ownership.list().unwrap().clone())] {
-        let again = ownership.heard(SECOND, SECOND, answer).unwrap();
+        let again = hear(&mut ownership, SECOND, SECOND, answer).unwrap();
         assert!(!again.changed);
         assert_eq!((again.gained.len(), again.lost.len()), (0, 0));
         assert_eq!(ownership.on_hold(SECOND), on_hold);
@@ -199,8 +219,8 @@
     let mut ownership = heard(OWN, &members);
     let step = changes(1, 2, vec![vacate(5)]);
     let next = members.apply(&step).unwrap();
-    let (before, after) = (Table::build(&members), Table::build(&next));
-    let heard = ownership.heard(SECOND, SECOND, Answer::Changes(step)).unwrap();
+    let (before, after) = (table(&members), table(&next));
+    let heard = hear(&mut ownership, SECOND, SECOND, Answer::Changes(step)).unwrap();
     let is_new = |shard: ShardId| !before.owners(shard).contains(&OWN);
     let mut expected: Vec<ShardId> = after.shards_of(OWN).filter(|&shard| is_new(shard)).collect();
     expected.sort_unstable();
@@ -211,7 +231,7 @@
     let owned_after = |dest: i64| after.owners(shard(dest)).contains(&OWN);
     let gained = (0..).find(|&dest| owned_after(dest) && is_new(shard(dest))).unwrap();
     assert_eq!(ownership.takes(SECOND, gained), Takes::OnHold(SECOND + HOLD));
-    ownership.heard(SECOND + HOLD, SECOND + HOLD, Answer::Unchanged { epoch: 2 }).unwrap();
+    hear(&mut ownership, SECOND + HOLD, SECOND + HOLD, Answer::Unchanged { epoch: 2 }).unwrap();
     assert_eq!(ownership.takes(SECOND + HOLD, gained), Takes::Yes);
 }
 
@@ -220,14 +240,14 @@
     let vacant = list(ListForm { first: true, ..with_vacant(5) });
     let mut ownership = heard(OWN, &vacant);
     let step = changes(1, 2, vec![fill(5)]);
-    let after = Table::build(&vacant.apply(&step).unwrap());
+    let after = table(&vacant.apply(&step).unwrap());
     let owned_after = |dest: i64| after.owners(shard(dest)).contains(&OWN);
     let dest = (0..).find(|&dest| ownership.takes(0, dest) == Takes::Yes && !owned_after(dest)).unwrap();
-    let heard = ownership.heard(SECOND, SECOND, Answer::Changes(step)).unwrap();
+    let heard = hear(&mut ownership, SECOND, SECOND, Answer::Changes(step)).unwrap();
     assert!(heard.lost.contains(&shard(dest)));
     assert_eq!(ownership.takes(SECOND, dest), Takes::NotOwner);
     assert!(ownership.keeps(dest));
-    ownership.heard(SECOND + HOLD, SECOND + HOLD, Answer::Unchanged { epoch: 2 }).unwrap();
+    hear(&mut ownership, SECOND + HOLD, SECOND + HOLD, Answer::Unchanged { epoch: 2 }).unwrap();
     assert!(!ownership.keeps(dest));
 }
 
@@ -242,14 +262,14 @@
 fn what_was_another_s_between_two_epochs_is_new() {
     let vacant = list(ListForm { first: true, ..with_vacant(5) });
     let filled = vacant.apply(&changes(1, 2, vec![fill(5)])).unwrap();
-    let (before, between) = (Table::build(&vacant), Table::build(&filled));
+    let (before, between) = (table(&vacant), table(&filled));
     let lost_between = |shard: ShardId| !between.owners(shard).contains(&OWN);
     let own = |dest: &i64| before.owners(shard(*dest)).contains(&OWN);
     let dest = (0..).filter(own).find(|&dest| lost_between(shard(dest))).unwrap();
     let kept = (0..).filter(own).find(|&dest| !lost_between(shard(dest))).unwrap();
     let mut ownership = heard(OWN, &vacant);
     let answer = Answer::Changes(changes(1, 3, vec![fill(5), vacate(5)]));
-    let heard = ownership.heard(SECOND, SECOND, answer).unwrap();
+    let heard = hear(&mut ownership, SECOND, SECOND, answer).unwrap();
     assert_eq!((heard.gained.len(), heard.lost.len()), (0, 0));
     assert_eq!(ownership.takes(SECOND, dest), Takes::OnHold(SECOND + HOLD));
     assert_eq!(ownership.takes(SECOND, kept), Takes::Yes);
@@ -261,7 +281,7 @@
     let dest = dest_where(&members, |owners| owners.contains(&OWN));
     let mut ownership = heard(OWN, &members);
     let answer = Answer::Changes(changes(1, 3, vec![vacate(0), fill(0)]));
-    ownership.heard(SECOND, SECOND, answer).unwrap();
+    hear(&mut ownership, SECOND, SECOND, answer).unwrap();
     assert_eq!(ownership.takes(SECOND, dest), Takes::OnHold(SECOND + HOLD));
 }
 
@@ -272,7 +292,7 @@
     for (epoch, expected) in [(2, Takes::Yes), (3, Takes::OnHold(SECOND + HOLD))] {
         let mut ownership = heard(OWN, &members);
         let later = list(ListForm { epoch, first: false, ..first_form() });
-        ownership.heard(SECOND, SECOND, whole(&later)).unwrap();
+        hear(&mut ownership, SECOND, SECOND, whole(&later)).unwrap();
         assert_eq!(ownership.takes(SECOND, dest), expected);
     }
 }
@@ -285,7 +305,7 @@
         let mut ownership = heard(OWN, &members);
         let toggled = (0..count).map(|index| if index % 2 == 0 { vacate(5) } else { fill(5) });
         let answer = Answer::Changes(changes(1, 3, toggled.collect()));
-        ownership.heard(SECOND, SECOND, answer).unwrap();
+        hear(&mut ownership, SECOND, SECOND, answer).unwrap();
         assert_eq!(ownership.takes(SECOND, dest), expected, "{count} changes");
     }
 }
@@ -294,7 +314,7 @@
 fn an_owner_serves_and_others_forward_to_the_owners_the_preferred_one_first() {
     let members = first_list();
     let dest = dest_where(&members, |owners| owners.contains(&OWN));
-    let owners = Table::build(&members).owners(shard(dest)).to_vec();
+    let owners = table(&members).owners(shard(dest)).to_vec();
     assert_eq!(heard(OWN, &members).route(0, &request(dest, "r")), Route::Here);
     let other = (0..6).map(SeatId).find(|seat| !owners.contains(seat)).unwrap();
     let forwarder = heard(other, &members);
@@ -352,16 +372,16 @@
     let stays = key_where(|key| ownership.admits(0, &ordered(dest, key)) == Takes::Yes);
     let moves = key_where(|key| {
         let mut after = ownership.clone();
-        after.heard(0, 0, Answer::Changes(changes(1, 2, vec![vacate(5)]))).unwrap();
+        hear(&mut after, 0, 0, Answer::Changes(changes(1, 2, vec![vacate(5)]))).unwrap();
         let was_the_others = other.admits(0, &ordered(dest, key)) == Takes::Yes;
         was_the_others && after.admits(0, &ordered(dest, key)) != Takes::NotOwner
     });
-    ownership.heard(SECOND, SECOND, Answer::Changes(changes(1, 2, vec![vacate(5)]))).unwrap();
+    hear(&mut ownership, SECOND, SECOND, Answer::Changes(changes(1, 2, vec![vacate(5)]))).unwrap();
     assert_eq!(ownership.takes(SECOND, dest), Takes::Yes);
     assert_eq!(ownership.admits(SECOND, &ordered(dest, &moves)), Takes::OnHold(SECOND + HOLD));
     let stayed = ownership.admits(SECOND, &ordered(dest, &stays));
     assert!(matches!(stayed, Takes::Yes | Takes::NotOwner), "{stayed:?}");
-    ownership.heard(SECOND + HOLD, SECOND + HOLD, Answer::Unchanged { epoch: 2 }).unwrap();
+    hear(&mut ownership, SECOND + HOLD, SECOND + HOLD, Answer::Unchanged { epoch: 2 }).unwrap();
     assert_eq!(ownership.admits(SECOND + HOLD, &ordered(dest, &moves)), Takes::Yes);
 }
 
@@ -372,11 +392,11 @@
     let all = (0..6).map(|seat| {
         let mut ownership = heard(SeatId(seat), &members);
         assert_eq!(ownership.sharers(0, dest), 2);
-        ownership.heard(SECOND, SECOND, Answer::Changes(changes(1, 2, vec![widen(dest, 8)]))).unwrap();
+        hear(&mut ownership, SECOND, SECOND, Answer::Changes(changes(1, 2, vec![widen(dest, 8)]))).unwrap();
         ownership
     });
     let all: Vec<Ownership> = all.collect();
-    let table = Table::build(&members);
+    let table = table(&members);
     let is_owner = |part: u16, seat: SeatId| table.owners(sub_shard(dest, part)).contains(&seat);
     for ownership in &all {
         let seat = ownership.seat().unwrap();
@@ -389,7 +409,7 @@
         assert_eq!(ownership.sharers(SECOND, dest), 16);
     }
     let mut narrowed = all[0].clone();
-    narrowed.heard(SECOND, 2 * SECOND, Answer::Changes(changes(2, 3, vec![widen(dest, 1)]))).unwrap();
+    hear(&mut narrowed, SECOND, 2 * SECOND, Answer::Changes(changes(2, 3, vec![widen(dest, 1)]))).unwrap();
     assert_eq!(narrowed.sharers(2 * SECOND + HOLD - 1, dest), 16);
     assert_eq!(narrowed.sharers(2 * SECOND + HOLD, dest), 2);
 }
@@ -403,7 +423,7 @@
     for seat in (0..6).map(SeatId) {
         let before = heard(seat, &members);
         let mut after = before.clone();
-        after.heard(0, SECOND, Answer::Changes(step.clone())).unwrap();
+        hear(&mut after, 0, SECOND, Answer::Changes(step.clone())).unwrap();
         for number in 0..200 {
             let key = format!("key-{number}");
             let request = ordered(dest, &key);
@@ -427,7 +447,7 @@
     let two = list(ListForm { epoch: 2, first: false, ..first_form() });
     let mut ownership = heard(OWN, &three);
     assert_eq!(ownership.sharers(0, 1), 3);
-    ownership.heard(SECOND, SECOND, whole(&two)).unwrap();
+    hear(&mut ownership, SECOND, SECOND, whole(&two)).unwrap();
     assert_eq!(ownership.sharers(SECOND + HOLD - 1, 1), 3);
     assert_eq!(ownership.sharers(SECOND + HOLD, 1), 2);
 }
@@ -438,7 +458,7 @@
     let last = Remembered { replicas: 3, wide: BTreeMap::from([(7, 4)]), ..memory(1, members.digest()) };
     let mut restarted = unheard(OWN).with_memory(Some(last));
     assert_eq!((restarted.sharers(0, 1), restarted.sharers(0, 7)), (3, 12));
-    restarted.heard(0, 0, whole(&members)).unwrap();
+    hear(&mut restarted, 0, 0, whole(&members)).unwrap();
     assert_eq!((restarted.sharers(HOLD - 1, 1), restarted.sharers(HOLD - 1, 7)), (3, 12));
     assert_eq!((restarted.sharers(HOLD, 1), restarted.sharers(HOLD, 7)), (2, 2));
     assert_eq!(unheard(OWN).sharers(0, 1), MAX_REPLICAS);
@@ -447,7 +467,7 @@
 #[test]
 fn a_restarted_sender_refuses_an_epoch_before_its_last() {
     let mut restarted = unheard(OWN).with_memory(Some(memory(2, 0)));
-    let refused = restarted.heard(0, 0, whole(&first_list()));
+    let refused = hear(&mut restarted, 0, 0, whole(&first_list()));
     assert_eq!(refused, Err(ListError::StaleEpoch { current: 2, offered: 1 }));
     assert!(!restarted.lease_valid(0));
 }
@@ -458,12 +478,12 @@
     let own_address = member_form(0).address.parse().unwrap();
     let dest = dest_where(&members, |owners| owners.contains(&OWN));
     let mut ownership = unheard(OWN).with_address(own_address);
-    ownership.heard(0, 0, whole(&members)).unwrap();
+    hear(&mut ownership, 0, 0, whole(&members)).unwrap();
     assert_eq!(ownership.takes(0, dest), Takes::Yes);
     let mut replacement = member_form(0);
     replacement.address = "127.9.9.9:7001".to_string();
     let replaced = vec![vacate(0), Change::Fill { seat: OWN, member: replacement }];
-    ownership.heard(0, SECOND, Answer::Changes(changes(1, 2, replaced))).unwrap();
+    hear(&mut ownership, 0, SECOND, Answer::Changes(changes(1, 2, replaced))).unwrap();
     assert_eq!(ownership.takes(SECOND, dest), Takes::NotOwner);
     assert_eq!(ownership.seat(), None);
 }
@@ -472,7 +492,7 @@
 fn a_sender_without_a_seat_forwards() {
     let members = first_list();
     let mut ownership = Ownership::new("not-listed", LEASE, DEADLINE);
-    ownership.heard(0, 0, whole(&members)).unwrap();
+    hear(&mut ownership, 0, 0, whole(&members)).unwrap();
     assert!(matches!(ownership.route(0, &request(1, "r")), Route::Forward(owners) if owners.len() == 2));
     assert_eq!(ownership.takes(0, 1), Takes::NotOwner);
     assert!(!ownership.keeps(1));
@@ -483,10 +503,10 @@
     let members = first_list();
     let joined = seat_form(0, 0, 9, Some(6));
     let mut ownership = unheard(SeatId(6));
-    ownership.heard(0, 0, whole(&members)).unwrap();
+    hear(&mut ownership, 0, 0, whole(&members)).unwrap();
     assert_eq!(ownership.seat(), None);
     let step = changes(1, 2, vec![Change::Append(joined)]);
-    let heard = ownership.heard(SECOND, SECOND, Answer::Changes(step)).unwrap();
+    let heard = hear(&mut ownership, SECOND, SECOND, Answer::Changes(step)).unwrap();
     assert_eq!(ownership.seat(), Some(SeatId(6)));
     assert!(!heard.gained.is_empty());
     let after = ownership.list().unwrap().clone();
