--- a/crates/placement/src/conflicts.rs
+++ b/crates/placement/src/conflicts.rs
@@ -1,12 +1,29 @@
 //! How distinct the failure domains of a row are, and which rows could do better.
 
-use crate::base::Domain;
+use crate::domains::{RackId, ZoneId};
+/// Two seats of a row that share a rack, and two that share a zone; one of them a spare. Each grade outweighs all pairs
+/// of the lesser ones together: a row of six has 15 pairs, six of them of owners.
+const SHARED_RACK: u32 = 1;
+const SHARED_ZONE: u32 = 1 << 4;
+/// The same where both are owners.
+const OWNERS: u32 = 1 << 8;
+
+/// Zone and rack of a seat, in one number for quick comparison.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Domain(u32);
+
+impl Domain {
+    /// The domain of a position that nobody holds: no zone has this number, as there are fewer zones than seats.
+    pub(crate) const NONE: Self = Self(u32::MAX);
+
+    pub(crate) fn new(zone: ZoneId, rack: RackId) -> Self {
+        Self(u32::from(zone.0) << u16::BITS | u32::from(rack.0))
+    }
 
-/// Two seats of a row that share a rack: both owners, or one of them a spare.
-const SHARED_RACK: [u32; 2] = [1, 1 << 8];
-/// Two seats of a row that share a zone. Each grade outweighs all pairs of the lesser ones together: a row of six has 15
-/// pairs, six of them of owners.
-const SHARED_ZONE: [u32; 2] = [1 << 4, 1 << 12];
+    pub(crate) const fn zone(self) -> u16 {
+        (self.0 >> u16::BITS) as u16
+    }
+}
 
 /// Positions of a row: owners first, spares behind them.
 #[derive(Clone, Copy, Debug)]
@@ -20,7 +37,7 @@
     pub(crate) fn least_cost(self, zones: usize) -> u32 {
         let owners = pairs_sharing(self.owners, zones);
         let others = pairs_sharing(self.positions, zones) - owners;
-        owners * SHARED_ZONE[1] + others * SHARED_ZONE[0]
+        (owners * OWNERS + others) * SHARED_ZONE
     }
 }
 
@@ -34,11 +51,11 @@
 
 /// What two seats of a row add to its cost.
 pub(crate) fn pair_cost(first: Domain, second: Domain, both_own: bool) -> u32 {
-    if first.zone != second.zone {
-        return 0;
-    }
-    let grade = usize::from(both_own);
-    SHARED_ZONE[grade] + if first.rack == second.rack { SHARED_RACK[grade] } else { 0 }
+    let difference = first.0 ^ second.0;
+    let shared_zone = if difference >> u16::BITS == 0 { SHARED_ZONE } else { 0 };
+    let shared_rack = if difference == 0 { SHARED_RACK } else { 0 };
+    let grade = if both_own { OWNERS } else { 1 };
+    (shared_zone + shared_rack) * grade
 }
 
 /// The rows whose cost is above the least possible. A row that has become better stays listed until it is looked at.
@@ -65,6 +82,10 @@
         self.least_cost = least_cost;
     }
 
+    pub(crate) fn shrink(&mut self) {
+        self.rows.shrink_to_fit();
+    }
+
     pub(crate) fn is_empty(&self) -> bool {
         self.rows.is_empty()
     }
--- a/crates/placement/src/region.rs
+++ b/crates/placement/src/region.rs
@@ -1,6 +1,6 @@
 //! One region's part of the table: the base rows, which seats are filled, and the owners that follow from both.
 
-use crate::base::{BaseSeat, BaseTable, NOBODY};
+use crate::base::{BaseSeat, BaseTable, NOBODY, SPARES};
 use crate::fallback::{FallbackOrder, RANKS};
 use crate::hash::Digest;
 use crate::list::{MAX_REPLICAS, SeatId};
@@ -92,8 +92,9 @@
         before != filled
     }
 
-    /// Works out the owners of all rows.
+    /// Works out the owners of all rows, once all seats are appended.
     pub(crate) fn resolve_all(&mut self) {
+        self.base.shrink();
         for row in 0..self.base.rows() {
             self.resolve(row);
         }
@@ -134,7 +135,7 @@
     }
 
     fn ordinal(&self, seat: SeatId) -> Option<u16> {
-        let found = self.base.seats().binary_search_by_key(&seat, |base| base.id);
+        let found = self.base.seats().binary_search(&seat);
         found.ok().map(|ordinal| ordinal as u16)
     }
 
@@ -178,7 +179,7 @@
         let start = row as usize * self.replicas;
         for (index, owner) in self.owners[start..start + self.replicas].iter_mut().enumerate() {
             let seat = chosen.seats().get(index).and_then(|&seat| self.base.seats().get(usize::from(seat)));
-            *owner = seat.map_or(NO_SEAT, |seat| seat.id);
+            *owner = seat.copied().unwrap_or(NO_SEAT);
         }
     }
 
@@ -189,12 +190,18 @@
     /// Puts filled spares in the place of missing owners. Where more spares are filled than owners are missing, those
     /// come first that share the fewest domains with the owners.
     fn choose_spares(&self, spares: &[u16], wanted: usize, chosen: &mut Chosen) {
-        let mut filled: Vec<u16> = spares.iter().copied().filter(|&seat| self.is_filled(seat)).collect();
+        let mut filled = [NOBODY; SPARES];
+        let mut count = 0;
+        for &spare in spares.iter().filter(|&&spare| self.is_filled(spare)) {
+            filled[count] = spare;
+            count += 1;
+        }
         let missing = wanted - chosen.len;
-        if missing < filled.len() {
+        let filled = &mut filled[..count];
+        if missing < count {
             filled.sort_by_key(|&spare| self.base.shared_domains(spare, chosen.seats()));
         }
-        for spare in filled.into_iter().take(missing) {
+        for &spare in filled.iter().take(missing) {
             chosen.push(spare);
         }
     }
--- a/crates/placement/src/table.rs
+++ b/crates/placement/src/table.rs
@@ -2,8 +2,9 @@
 
 use std::ops::Range;
 
-use crate::base::{BaseSeat, Domain};
+use crate::base::BaseSeat;
 use crate::changes::{Change, Changes};
+use crate::conflicts::Domain;
 use crate::hash::Digest;
 use crate::list::{MemberList, Region, RegionId, SeatId};
 use crate::region::RegionTable;
@@ -30,15 +31,15 @@
     /// Builds the table of a list. Depends on nothing but the list: the same on each machine and in each version that
     /// knows the scheme.
     pub fn build(list: &MemberList) -> Self {
-        let mut table = Self { regions: empty_regions(list), seats: Vec::with_capacity(list.seat_count()) };
-        for seat in list.seat_ids() {
-            let (region, ordinal) = table.append(list, seat);
-            table.regions[region.index()].set_filled(ordinal, list.member(seat).is_some());
-        }
-        for region in &mut table.regions {
+        let mut regions = empty_regions(list);
+        // Region after region, as one region's rows fit into a processor's cache.
+        for (region, number) in regions.iter_mut().zip(0..) {
+            for seat in list.seat_ids().filter(|&seat| list.region(seat) == RegionId(number)) {
+                append(region, list, seat);
+            }
             region.resolve_all();
         }
-        table
+        Self { seats: places(list, regions.len()), regions }
     }
 
     /// Takes over `changes`, which led from this table's list to `next`. Afterwards the table is the same as one built
@@ -88,21 +89,14 @@
         self.regions.iter().map(RegionTable::bytes).sum::<usize>() + seats
     }
 
-    fn append(&mut self, list: &MemberList, seat: SeatId) -> (RegionId, u16) {
-        let region = list.region(seat);
-        let table = &mut self.regions[region.index()];
-        let ordinal = table.seat_count() as u16;
-        let domain = Domain { zone: list.zone(seat).0, rack: list.rack(seat).0 };
-        table.append(BaseSeat { id: seat, domain, weight: list.weight(seat).units() });
-        self.seats.push((region, ordinal));
-        (region, ordinal)
-    }
-
     fn take_appended(&mut self, next: &MemberList, pending: &mut [Pending]) {
         let seat = SeatId(self.seats.len() as u16);
-        let (region, _) = self.append(next, seat);
-        pending[region.index()].rows.extend(self.regions[region.index()].touched());
-        self.take_member(next, seat, pending);
+        let region = next.region(seat);
+        let (table, pending) = (&mut self.regions[region.index()], &mut pending[region.index()]);
+        let ordinal = append(table, next, seat);
+        self.seats.push((region, ordinal));
+        pending.rows.extend(table.touched());
+        pending.toggled.push(ordinal);
     }
 
     fn take_member(&mut self, next: &MemberList, seat: SeatId, pending: &mut [Pending]) {
@@ -113,6 +107,27 @@
     }
 }
 
+/// Adds a seat of a list to its region. Returns its ordinal there.
+fn append(region: &mut RegionTable, list: &MemberList, seat: SeatId) -> u16 {
+    let ordinal = region.seat_count() as u16;
+    let domain = Domain::new(list.zone(seat), list.rack(seat));
+    region.append(BaseSeat { id: seat, domain, weight: list.weight(seat).units() });
+    region.set_filled(ordinal, list.member(seat).is_some());
+    ordinal
+}
+
+/// Each seat's region and its ordinal there.
+fn places(list: &MemberList, regions: usize) -> Vec<(RegionId, u16)> {
+    let mut counts = vec![0; regions];
+    let place = |seat| {
+        let region = list.region(seat);
+        let ordinal = counts[region.index()];
+        counts[region.index()] += 1;
+        (region, ordinal)
+    };
+    list.seat_ids().map(place).collect()
+}
+
 fn empty_regions(list: &MemberList) -> Vec<RegionTable> {
     let ranges = position_ranges(list.regions());
     ranges.map(|range| RegionTable::new(range.start, range.end - range.start, list.replicas())).collect()
--- a/crates/placement/src/target.rs
+++ b/crates/placement/src/target.rs
@@ -53,6 +53,11 @@
         ((exact + self.total / 2) / self.total) as u32
     }
 
+    /// The greatest load of a seat of this weight that is not above its target.
+    pub(crate) fn target(self, positions: u64, weight: Units) -> u32 {
+        (positions * weight.min(self.cap) / self.total) as u32
+    }
+
     /// Whether a load exceeds the target by more than `margin` eighths of it.
     pub(crate) fn exceeds(self, load: u32, positions: u64, weight: Units, margin: u64) -> bool {
         const EIGHTHS: u64 = 8;
