--- /dev/null
+++ b/crates/placement/src/table.rs
@@ -0,0 +1,148 @@
+//! The table of one member list: each shard's owners in order.
+
+use std::ops::Range;
+
+use crate::base::BaseSeat;
+use crate::changes::{Change, Changes};
+use crate::conflicts::Domain;
+use crate::hash::Digest;
+use crate::list::{MemberList, Region, RegionId, SeatId};
+use crate::region::RegionTable;
+use crate::shard::{SHARDS, ShardId};
+
+/// The owners of all shards under one member list.
+///
+/// Some 4 MB at two replicas, whatever the number of members.
+#[derive(Clone, Debug)]
+pub struct Table {
+    regions: Vec<RegionTable>,
+    /// Each seat's region and its ordinal there.
+    seats: Vec<(RegionId, u16)>,
+}
+
+/// What a table has to work out anew in one region.
+#[derive(Clone, Debug, Default)]
+struct Pending {
+    rows: Vec<u32>,
+    toggled: Vec<u16>,
+}
+
+impl Table {
+    /// Builds the table of a list. Depends on nothing but the list: the same on each machine and in each version that
+    /// knows the scheme.
+    pub fn build(list: &MemberList) -> Self {
+        let mut regions = empty_regions(list);
+        // Region after region, as one region's rows fit into a processor's cache.
+        for (region, number) in regions.iter_mut().zip(0..) {
+            for seat in list.seat_ids().filter(|&seat| list.region(seat) == RegionId(number)) {
+                append(region, list, seat);
+            }
+            region.resolve_all();
+        }
+        Self { seats: places(list, regions.len()), regions }
+    }
+
+    /// Takes over `changes`, which led from this table's list to `next`. Afterwards the table is the same as one built
+    /// from `next`.
+    pub fn apply(&mut self, next: &MemberList, changes: &Changes) {
+        let mut pending = vec![Pending::default(); self.regions.len()];
+        for change in &changes.changes {
+            match change {
+                Change::Append(_) => self.take_appended(next, &mut pending),
+                Change::Fill { seat, .. } | Change::Vacate { seat } => {
+                    self.take_member(next, *seat, &mut pending)
+                }
+                Change::Widen(_) => {}
+            }
+        }
+        for (region, pending) in self.regions.iter_mut().zip(&pending) {
+            region.update(&pending.rows, &pending.toggled);
+        }
+    }
+
+    /// A shard's owners in order; empty if its region has no filled seat.
+    pub fn owners(&self, shard: ShardId) -> &[SeatId] {
+        let position = shard.position();
+        let behind = self.regions.partition_point(|region| region.first_position() <= position);
+        let Some(region) = behind.checked_sub(1).and_then(|index| self.regions.get(index)) else {
+            return &[];
+        };
+        region.owners(position - region.first_position())
+    }
+
+    /// The shards that a seat owns, in no particular order.
+    pub fn shards_of(&self, seat: SeatId) -> impl Iterator<Item = ShardId> + '_ {
+        let place = self.seats.get(seat.index());
+        let region = place.and_then(|(region, _)| self.regions.get(region.index()));
+        region.into_iter().flat_map(move |region| region.shards_of(seat))
+    }
+
+    /// A digest of all owners, for comparing tables between machines and versions.
+    pub fn digest(&self) -> u64 {
+        const TABLE: u64 = 0x7461_626c;
+        self.regions.iter().fold(Digest::new(TABLE), |digest, region| region.digest(digest)).value()
+    }
+
+    /// Memory that the table holds, in bytes.
+    pub fn bytes(&self) -> usize {
+        let seats = self.seats.capacity() * size_of::<(RegionId, u16)>();
+        self.regions.iter().map(RegionTable::bytes).sum::<usize>() + seats
+    }
+
+    fn take_appended(&mut self, next: &MemberList, pending: &mut [Pending]) {
+        let seat = SeatId(self.seats.len() as u16);
+        let region = next.region(seat);
+        let (table, pending) = (&mut self.regions[region.index()], &mut pending[region.index()]);
+        let ordinal = append(table, next, seat);
+        self.seats.push((region, ordinal));
+        pending.rows.extend(table.touched());
+        pending.toggled.push(ordinal);
+    }
+
+    fn take_member(&mut self, next: &MemberList, seat: SeatId, pending: &mut [Pending]) {
+        let (region, ordinal) = self.seats[seat.index()];
+        if self.regions[region.index()].set_filled(ordinal, next.member(seat).is_some()) {
+            pending[region.index()].toggled.push(ordinal);
+        }
+    }
+}
+
+/// Adds a seat of a list to its region. Returns its ordinal there.
+fn append(region: &mut RegionTable, list: &MemberList, seat: SeatId) -> u16 {
+    let ordinal = region.seat_count() as u16;
+    let domain = Domain::new(list.zone(seat), list.rack(seat));
+    region.append(BaseSeat { id: seat, domain, weight: list.weight(seat).units() });
+    region.set_filled(ordinal, list.member(seat).is_some());
+    ordinal
+}
+
+/// Each seat's region and its ordinal there.
+fn places(list: &MemberList, regions: usize) -> Vec<(RegionId, u16)> {
+    let mut counts = vec![0; regions];
+    let place = |seat| {
+        let region = list.region(seat);
+        let ordinal = counts[region.index()];
+        counts[region.index()] += 1;
+        (region, ordinal)
+    };
+    list.seat_ids().map(place).collect()
+}
+
+fn empty_regions(list: &MemberList) -> Vec<RegionTable> {
+    let ranges = position_ranges(list.regions());
+    ranges.map(|range| RegionTable::new(range.start, range.end - range.start, list.replicas())).collect()
+}
+
+/// The ranges of the interleaved order of shards that regions own, by their shares.
+fn position_ranges(regions: &[Region]) -> impl Iterator<Item = Range<u32>> + '_ {
+    let total: u64 = regions.iter().map(|region| u64::from(region.share())).sum();
+    let mut shares = 0;
+    let mut start = 0;
+    regions.iter().map(move |region| {
+        shares += u64::from(region.share());
+        let end = (u64::from(SHARDS) * shares / total) as u32;
+        let range = start..end;
+        start = end;
+        range
+    })
+}
