Scale package: slopes of lists, messages, held messages and membership

The slopes behind docs/CAPACITY.md need commands that reprint them. embershore-scale measures real daemons and the hollow module; each figure has its spread and, where it has one, its budget by name.

--- /dev/null
+++ b/crates/scale/src/hollow_fleet.rs
@@ -0,0 +1,87 @@
+//! Member lists of hollow fleets: the real lists and tables, for senders that are not there.
+
+use crate::target::{RACK, REPLICAS, ZONES_BY_REGION};
+use anyhow::Result;
+use embershore_placement::wire::{ListForm, MemberForm, RegionForm, SeatForm};
+use embershore_placement::{Change, Changes, MemberList, SCHEME, SeatId};
+
+/// The port that every member's address has.
+const PORT: u16 = 7001;
+
+/// Where the zones are: the region of each zone, and its number there.
+fn zones() -> Vec<(usize, u32)> {
+    let zones = ZONES_BY_REGION.iter().enumerate();
+    zones.flat_map(|(region, &count)| (0..count).map(move |zone| (region, zone))).collect()
+}
+
+/// The member that fills a seat, in its first life or a later one.
+pub fn member(seat: usize, life: usize) -> MemberForm {
+    let [_, high, middle, low] = (seat as u32 + 1).to_be_bytes();
+    let address = format!("127.{}.{middle}.{low}:{PORT}", usize::from(high) + life);
+    MemberForm { name: format!("sender-{seat:05}-{life}"), address }
+}
+
+/// One seat of the fleet: zones in turn, racks filled one after another within each.
+pub fn seat(number: usize) -> SeatForm {
+    let zones = zones();
+    let (region, zone) = zones[number % zones.len()];
+    let rack = number / zones.len() / RACK as usize;
+    SeatForm {
+        region: format!("region-{region}"),
+        zone: format!("zone-{region}-{zone}"),
+        rack: format!("rack-{region}-{zone}-{rack:02}"),
+        weight: 1.0,
+        member: Some(member(number, 0)),
+    }
+}
+
+/// The whole fleet's list, every seat filled.
+pub fn list_form(senders: usize) -> ListForm {
+    let region = |(number, zones): (usize, &u32)| RegionForm { name: format!("region-{number}"), share: *zones };
+    ListForm {
+        epoch: 1,
+        scheme: SCHEME,
+        replicas: u64::from(REPLICAS),
+        first: true,
+        regions: ZONES_BY_REGION.iter().enumerate().map(region).collect(),
+        seats: (0..senders).map(seat).collect(),
+        wide: Vec::new(),
+    }
+}
+
+/// The same, checked.
+///
+/// # Errors
+/// When there are too few senders for each region to have all replicas.
+pub fn list(senders: usize) -> Result<MemberList> {
+    Ok(MemberList::from_form(list_form(senders))?)
+}
+
+/// These seats' members are gone.
+pub fn vacated(list: &MemberList, seats: impl IntoIterator<Item = usize>) -> Changes {
+    let change = |seat: usize| Change::Vacate { seat: SeatId(seat as u16) };
+    following(list, seats.into_iter().map(change).collect())
+}
+
+/// These seats are filled, by members of that life.
+pub fn filled(list: &MemberList, seats: impl IntoIterator<Item = usize>, life: usize) -> Changes {
+    let change = |seat: usize| Change::Fill { seat: SeatId(seat as u16), member: member(seat, life) };
+    following(list, seats.into_iter().map(change).collect())
+}
+
+/// Changes that lead to the next epoch.
+pub fn following(list: &MemberList, changes: Vec<Change>) -> Changes {
+    Changes { epoch: list.epoch() + 1, since: list.epoch(), changes }
+}
+
+/// The seats of the first rack.
+pub fn first_rack(senders: usize) -> Vec<usize> {
+    let zones = zones().len();
+    (0..senders).filter(|seat| seat % zones == 0 && seat / zones < RACK as usize).collect()
+}
+
+/// The seats of the first zone.
+pub fn first_zone(senders: usize) -> Vec<usize> {
+    let zones = zones().len();
+    (0..senders).filter(|seat| seat % zones == 0).collect()
+}
--- /dev/null
+++ b/crates/scale/src/hollow_module.rs
@@ -0,0 +1,115 @@
+//! The decision module without a process around it: no sockets, no journal, simulated time.
+
+use anyhow::Result;
+use heronroute::{
+    Action, ClassSettings, DestId, Dispatcher, Effect, EndpointEntry, EndpointId, Event, KindSettings,
+    Micros, MsgId, Outcome, Settings, Status,
+};
+use std::time::{Duration, Instant};
+
+/// Simulated time between two rounds, as in the daemon's settings.
+pub const QUANTUM: Micros = 5_000;
+/// Simulated time that a call takes.
+const CALL_TIME: Micros = 1_000;
+/// The time that a message may take; all are delivered long before.
+const TIME_LEFT: Micros = 20_000_000;
+
+/// A module with one endpoint for each destination.
+pub struct Module {
+    dispatcher: Dispatcher,
+    now: Micros,
+    next_message: u64,
+    events: Vec<Event>,
+    actions: Vec<Action>,
+}
+
+impl Module {
+    /// One that has been told of so many destinations.
+    ///
+    /// # Errors
+    /// When the module refuses its settings.
+    pub fn new(destinations: usize, seed: u64) -> Result<Self> {
+        let mut dispatcher = Dispatcher::new(0, seed, settings())?;
+        let entries = (0..destinations).map(entry).collect();
+        dispatcher.round(0, &[Event::Members { whole: true, entries }], &mut Vec::new());
+        Ok(Module { dispatcher, now: 0, next_message: 0, events: Vec::new(), actions: Vec::new() })
+    }
+
+    /// One round in which nothing has happened; the processor's time for it.
+    pub fn idle_round(&mut self) -> Duration {
+        self.round(&[])
+    }
+
+    /// One round in which these destinations get a message each and the last round's calls have ended; the time for
+    /// it.
+    pub fn round(&mut self, destinations: &[i64]) -> Duration {
+        self.now += QUANTUM;
+        for destination in destinations {
+            self.next_message += 1;
+            self.events.push(message(self.next_message, *destination));
+        }
+        let begun = Instant::now();
+        self.dispatcher.round(self.now, &self.events, &mut self.actions);
+        // The daemon looks at every endpoint's health after each round.
+        std::hint::black_box(self.dispatcher.health().count());
+        let elapsed = begun.elapsed();
+        self.events.clear();
+        self.events.extend(self.actions.drain(..).filter_map(delivered));
+        elapsed
+    }
+}
+
+fn settings() -> Settings {
+    Settings {
+        slots: 100,
+        max_open: 10_000,
+        max_attempts: 6,
+        cancel: true,
+        probes: true,
+        max_retry_after: 2_000_000,
+        quantum: QUANTUM,
+        drain_grace: 1_000_000,
+        classes: vec![ClassSettings {
+            aim: 2_500_000,
+            deadline: TIME_LEFT,
+            effect: Effect::Free,
+            late_share: 0.5,
+            ..ClassSettings::default()
+        }],
+        kinds: vec![KindSettings { batch: 1, apart: false }],
+        weights: heronroute::Weights::Nominal,
+        ..Settings::default()
+    }
+}
+
+fn entry(number: usize) -> EndpointEntry {
+    EndpointEntry {
+        endpoint: EndpointId(number as u32 + 1),
+        dest: DestId(number as i64),
+        status: Status::Up,
+        kind: 0,
+        zone: 0,
+        weight: Some(100.0),
+    }
+}
+
+fn message(id: u64, destination: i64) -> Event {
+    let (id, dest) = (MsgId(id), DestId(destination));
+    Event::Message { id, class: 0, tenant: 0, key: None, dest, time_left: TIME_LEFT, again: false }
+}
+
+/// The end of a call that was begun; every call is the first attempt, and delivers.
+fn delivered(action: Action) -> Option<Event> {
+    let Action::Send { id, endpoint, .. } = action else { return None };
+    let (attempt, outcome) = (0, Outcome::Done);
+    Some(Event::Outcome {
+        id,
+        attempt,
+        endpoint,
+        outcome,
+        last: true,
+        elapsed: CALL_TIME,
+        wait: 0,
+        report: None,
+    })
+}
--- /dev/null
+++ b/crates/scale/src/process/directory.rs
@@ -0,0 +1,105 @@
+//! A stand-in for the platform: discovery's list, which never changes, and the ear for notices.
+
+use super::http::request_line;
+use anyhow::Result;
+use bytes::Bytes;
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::io::{AsyncWriteExt, BufReader};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinHandle;
+
+/// How often a watch says that it lives.
+const HEARTBEAT: Duration = Duration::from_secs(1);
+
+/// One endpoint for each of so many destinations, all at one address.
+#[derive(Clone, Copy, Debug)]
+pub struct Endpoints {
+    /// Destinations, numbered from 0.
+    pub count: usize,
+    /// Where their endpoints are.
+    pub address: SocketAddr,
+}
+
+impl Endpoints {
+    /// The whole list as discovery tells it.
+    ///
+    /// # Errors
+    /// None in practice: the list can always be written.
+    pub fn to_json(self) -> Result<Vec<u8>> {
+        let address = self.address.to_string();
+        let line = |n: usize| {
+            serde_json::json!({"name": format!("endpoint-{n:07}"), "address": address, "zone": "a",
+                "type": "one", "group": n, "status": "Ready", "weight": 100.0, "since_ms": 0})
+        };
+        let lines: Vec<_> = (0..self.count).map(line).collect();
+        Ok(serde_json::to_vec(&serde_json::json!({"index": 1, "snapshot": true, "endpoints": lines}))?)
+    }
+}
+
+/// The stand-in; it serves until it is dropped.
+pub struct Directory {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Bytes of its whole list.
+    pub list_bytes: usize,
+    serving: JoinHandle<()>,
+}
+
+impl Directory {
+    /// Serves this list.
+    ///
+    /// # Errors
+    /// When no port is free.
+    pub async fn start(list: Vec<u8>) -> Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let (address, list) = (listener.local_addr()?, Bytes::from(list));
+        let list_bytes = list.len();
+        let serving = tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                // Bounded by the daemon's own connections: its question, its watch and its notices.
+                tokio::spawn(serve(stream, list.clone()));
+            }
+        });
+        Ok(Directory { address, list_bytes, serving })
+    }
+}
+
+impl Drop for Directory {
+    fn drop(&mut self) {
+        self.serving.abort();
+    }
+}
+
+async fn serve(stream: TcpStream, list: Bytes) -> io::Result<()> {
+    let mut stream = BufReader::new(stream);
+    while let Some(line) = request_line(&mut stream).await? {
+        if line.starts_with("POST") {
+            stream.write_all(b"HTTP/1.1 204 No Content\r\ncontent-length: 0\r\n\r\n").await?;
+        } else if line.contains("follow") {
+            return watch(stream).await;
+        } else {
+            let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", list.len());
+            stream.write_all(head.as_bytes()).await?;
+            stream.write_all(&list).await?;
+        }
+        stream.flush().await?;
+    }
+    Ok(())
+}
+
+/// A watch in which nothing changes.
+async fn watch(mut stream: BufReader<TcpStream>) -> io::Result<()> {
+    stream.write_all(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n").await?;
+    chunk(&mut stream, "{\"index\":1,\"snapshot\":false,\"endpoints\":[]}\n").await?;
+    loop {
+        tokio::time::sleep(HEARTBEAT).await;
+        chunk(&mut stream, "\n").await?;
+    }
+}
+
+async fn chunk(stream: &mut BufReader<TcpStream>, text: &str) -> io::Result<()> {
+    stream.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes()).await?;
+    stream.flush().await
+}
--- /dev/null
+++ b/crates/scale/src/process/mod.rs
@@ -0,0 +1,24 @@
+//! Real `embershore` processes between stand-ins on loopback: the directory, receivers and clients.
+
+mod client;
+mod daemon;
+mod directory;
+mod http;
+mod receiver;
+mod usage;
+
+pub use client::{Client, Handed, PIPELINE, offer};
+pub use daemon::{Daemon, KEPT_MS, Options};
+pub use directory::{Directory, Endpoints};
+pub use receiver::{Receiver, Refusing};
+
+use anyhow::Result;
+use std::future::Future;
+
+/// Runs a measurement and its stand-ins on this thread.
+///
+/// # Errors
+/// That of the measurement.
+pub fn on_this_thread<T>(work: impl Future<Output = Result<T>>) -> Result<T> {
+    tokio::runtime::Builder::new_current_thread().enable_all().build()?.block_on(work)
+}
--- /dev/null
+++ b/crates/scale/src/process/receiver.rs
@@ -0,0 +1,69 @@
+//! Stand-ins for receivers: one that takes everything, and one that is down.
+
+use super::http::request_line;
+use anyhow::Result;
+use std::io;
+use std::net::SocketAddr;
+use tokio::io::{AsyncWriteExt, BufReader};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::task::JoinHandle;
+
+/// Answers each call with 200; it serves until it is dropped.
+pub struct Receiver {
+    /// Where it listens.
+    pub address: SocketAddr,
+    serving: JoinHandle<()>,
+}
+
+impl Receiver {
+    /// Begins to listen.
+    ///
+    /// # Errors
+    /// When no port is free.
+    pub async fn start() -> Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let serving = tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                // Bounded by the daemon's own descriptors for endpoints.
+                tokio::spawn(serve(stream));
+            }
+        });
+        Ok(Receiver { address, serving })
+    }
+}
+
+impl Drop for Receiver {
+    fn drop(&mut self) {
+        self.serving.abort();
+    }
+}
+
+async fn serve(stream: TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let mut stream = BufReader::new(stream);
+    while request_line(&mut stream).await?.is_some() {
+        stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n").await?;
+        stream.flush().await?;
+    }
+    Ok(())
+}
+
+/// An address at which each connection is refused: bound, so that no one else is given it, and not listened on.
+pub struct Refusing {
+    /// The address.
+    pub address: SocketAddr,
+    _socket: TcpSocket,
+}
+
+impl Refusing {
+    /// Takes an address.
+    ///
+    /// # Errors
+    /// When no port is free.
+    pub fn new() -> Result<Self> {
+        let socket = TcpSocket::new_v4()?;
+        socket.bind(([127, 0, 0, 1], 0).into())?;
+        Ok(Refusing { address: socket.local_addr()?, _socket: socket })
+    }
+}
--- /dev/null
+++ b/crates/scale/src/slopes/membership.rs
@@ -0,0 +1,142 @@
+//! Datagrams and bytes of the membership gossip: the deciding half of `embershore-peer` with its real encoding, over a
+//! simulated network.
+
+use super::Setup;
+use crate::report::{Report, Unit};
+use crate::spread::Spread;
+use anyhow::{Context, Result};
+use embershore_peer::{Fleet, MEMBERS_MOST, Member, Micros, Peers, Standing, Times};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+const SECOND: Micros = 1_000_000;
+/// How often every member is looked at.
+const STEP: Micros = 10_000;
+/// Longest way of a datagram.
+const DELAY: Micros = 5_000;
+/// All members' datagrams go to this port.
+const PORT: u16 = 7100;
+
+/// The fleet and its network, in simulated time.
+struct Network {
+    now: Micros,
+    members: Vec<Peers>,
+    random: ChaCha8Rng,
+    wire: BTreeMap<(Micros, u64), (usize, Vec<u8>)>,
+    datagrams: u64,
+    bytes: u64,
+}
+
+fn address(number: usize) -> SocketAddr {
+    ([127, 0, (number >> 8) as u8, number as u8], PORT).into()
+}
+
+/// The member whose address this is.
+fn number(address: SocketAddr) -> Option<usize> {
+    let SocketAddr::V4(address) = address else { return None };
+    let [_, _, high, low] = address.ip().octets();
+    Some(usize::from(high) << 8 | usize::from(low))
+}
+
+fn name(number: usize) -> String {
+    format!("sender-{number}")
+}
+
+impl Network {
+    fn new(size: usize, seed: u64) -> Result<Self> {
+        let fleet = Fleet::new((0..size).map(|n| (name(n), address(n))))?;
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let member = |n: usize| Member {
+            name: name(n),
+            life: 1,
+            turn: 0,
+            address: address(n),
+            domain: format!("machine-{}", n % 4),
+            standing: Standing::Serving,
+        };
+        let mut start = |n| Peers::new(member(n), fleet.clone(), Times::default(), random.random(), 0);
+        let members = (0..size).map(&mut start).collect::<Result<Vec<_>, _>>()?;
+        let (wire, datagrams, bytes) = (BTreeMap::new(), 0, 0);
+        Ok(Network { now: 0, members, random, wire, datagrams, bytes })
+    }
+
+    fn pass(&mut self, span: Micros) -> Result<()> {
+        let end = self.now + span;
+        while self.now < end {
+            self.now += STEP;
+            self.deliver();
+            self.look()?;
+        }
+        Ok(())
+    }
+
+    fn deliver(&mut self) {
+        while let Some(first) = self.wire.first_entry().filter(|entry| entry.key().0 <= self.now) {
+            let (to, datagram) = first.remove();
+            if let Some(member) = self.members.get_mut(to) {
+                member.datagram(self.now, &datagram);
+            }
+        }
+    }
+
+    fn look(&mut self) -> Result<()> {
+        for member in &mut self.members {
+            if member.next() <= self.now {
+                member.tick(self.now);
+            }
+            while let Some((to, datagram)) = member.send() {
+                self.datagrams += 1;
+                self.bytes += datagram.len() as u64;
+                let at = self.now + 1 + self.random.random_range(0..DELAY);
+                let to = number(to).context("a datagram to a strange address")?;
+                self.wire.insert((at, self.datagrams), (to, datagram.to_vec()));
+            }
+        }
+        Ok(())
+    }
+
+    /// Datagrams and bytes a second from each member over the next `seconds`.
+    fn rates(&mut self, seconds: i64) -> Result<(f64, f64)> {
+        let before = (self.datagrams, self.bytes);
+        self.pass(seconds * SECOND)?;
+        let each = self.members.len() as f64 * seconds as f64;
+        Ok(((self.datagrams - before.0) as f64 / each, (self.bytes - before.1) as f64 / each))
+    }
+}
+
+/// Measures it.
+///
+/// # Errors
+/// When the fleet's list is refused.
+pub fn run(setup: &Setup) -> Result<Report> {
+    let sizes: &[usize] = if setup.small { &[12, 40] } else { &[12, 100, 300, MEMBERS_MOST] };
+    let (repeats, settle, span) = if setup.small { (1, 20, 5) } else { (3, 120, 20) };
+    let mut report = Report::new("membership", &setup.overrides);
+    report.input("members", format!("{sizes:?}"));
+    report.input(
+        "simulated",
+        format!("10 to {} s and {settle} to {} s after all started", 10 + span, settle + span),
+    );
+    report.input("repeats", repeats);
+    for &size in sizes {
+        let (mut starting, mut steady) = (Vec::new(), Vec::new());
+        for repeat in 0..repeats {
+            let mut network = Network::new(size, setup.seed + repeat)?;
+            network.pass(10 * SECOND)?;
+            starting.push(network.rates(span)?);
+            let rest = settle * SECOND - network.now;
+            network.pass(rest.max(0))?;
+            steady.push(network.rates(span)?);
+        }
+        for (when, rates) in [("after a start", starting), ("steady", steady)] {
+            let datagrams: Vec<f64> = rates.iter().map(|r| r.0).collect();
+            let bytes: Vec<f64> = rates.iter().map(|r| r.1).collect();
+            report.figure(format!("datagrams at {size}, {when}"), Unit::PerSecond, Spread::of(&datagrams));
+            report.figure(format!("bytes at {size}, {when}"), Unit::BytesPerSecond, Spread::of(&bytes));
+        }
+    }
+    report.remark(format!("a list of more than {MEMBERS_MOST} members is refused"));
+    Ok(report)
+}
--- /dev/null
+++ b/crates/scale/src/slopes/message_cpu.rs
@@ -0,0 +1,81 @@
+//! Processor time of a real daemon for each message, by the length of its list.
+
+use super::Setup;
+use crate::budget::MESSAGE_CPU;
+use crate::process::{Daemon, Directory, Endpoints, Options, Receiver, offer, on_this_thread};
+use crate::report::{Report, Unit};
+use crate::spread::{Line, Spread};
+use crate::target::{SENDER_DESTINATIONS, SENDER_MESSAGES_PER_SECOND};
+use anyhow::{Result, ensure};
+use std::time::Duration;
+
+/// Messages offered in a second.
+pub const RATE: f64 = 300.0;
+/// Destinations that messages go to, where more are listed: what a listed but idle destination costs is told apart
+/// from what a connection costs.
+pub const ACTIVE: usize = 100;
+const PATIENCE: Duration = Duration::from_secs(30);
+/// The load before the measured one, in which connections come up.
+const WARM_UP: Duration = Duration::from_secs(2);
+
+/// Seconds of processor time for each message taken.
+pub async fn sample(setup: &Setup, listed: usize, active: usize, span: Duration) -> Result<f64> {
+    let receiver = Receiver::start().await?;
+    let endpoints = Endpoints { count: listed, address: receiver.address };
+    let directory = Directory::start(endpoints.to_json()?).await?;
+    let mut daemon = Daemon::start(&setup.binary, directory.address, &Options::default())?;
+    daemon.ready(listed, PATIENCE).await?;
+    offer(daemon.address, "warm", RATE, WARM_UP, active).await?;
+    let before = daemon.cpu_seconds()?;
+    let handed = offer(daemon.address, "load", RATE, span, active).await?;
+    let used = daemon.cpu_seconds()? - before;
+    ensure!(handed.taken > 0, "the daemon took no message: {}", daemon.log());
+    ensure!(handed.refused * 20 < handed.taken, "{} of {} refused", handed.refused, handed.taken);
+    Ok(used / handed.taken as f64)
+}
+
+/// Measures it.
+///
+/// # Errors
+/// When the daemon can't be started, or refuses more than one message in twenty.
+pub fn run(setup: &Setup) -> Result<Report> {
+    let sizes: &[usize] = if setup.small { &[100, 1_000] } else { &[100, 1_000, 10_000] };
+    let (repeats, span) = if setup.small { (1, Duration::from_secs(2)) } else { (5, Duration::from_secs(8)) };
+    let mut report = Report::new("message-cpu", &setup.overrides);
+    report.input("destinations", format!("{sizes:?}"));
+    report.input("load", format!("{RATE} messages a second of 200 bytes for {span:?}, {repeats} times"));
+    report.input("binary", setup.binary.display());
+    let mut points = Vec::new();
+    for &listed in sizes {
+        let mut samples = Vec::new();
+        for _ in 0..repeats {
+            samples.push(on_this_thread(sample(setup, listed, ACTIVE.min(listed), span))?);
+        }
+        let spread = Spread::of(&samples);
+        points.push((listed as f64, spread.median));
+        report.figure(format!("a message, {listed} listed, {ACTIVE} active"), Unit::Seconds, spread);
+    }
+    if !setup.small {
+        let samples: Result<Vec<f64>> =
+            (0..repeats).map(|_| on_this_thread(sample(setup, 10_000, 10_000, span))).collect();
+        report.figure("a message, 10000 listed, all active", Unit::Seconds, Spread::of(&samples?));
+    }
+    let line = Line::through(&points);
+    report.figure("a message for each listed destination", Unit::Seconds, Spread::exact(line.slope));
+    report.figure("a message without a list", Unit::Seconds, Spread::exact(line.intercept));
+    let longest = sizes.last().copied().unwrap_or(0) as f64;
+    let today = SENDER_MESSAGES_PER_SECOND * line.at(longest);
+    report.figure(
+        format!("extrapolated: a sender's messages, {longest} listed"),
+        Unit::Cores,
+        Spread::exact(today),
+    );
+    let owned = SENDER_MESSAGES_PER_SECOND * line.at(SENDER_DESTINATIONS * 1.15);
+    report.bounded(
+        "extrapolated: a sender's messages, a busiest owner's part listed",
+        Unit::Cores,
+        Spread::exact(owned),
+        MESSAGE_CPU,
+    );
+    Ok(report)
+}
--- /dev/null
+++ b/crates/scale/src/slopes/module_round.rs
@@ -0,0 +1,52 @@
+//! Idle rounds of the decision module, without a process around it.
+
+use super::Setup;
+use crate::budget::SENDER_CPU;
+use crate::hollow_module::Module;
+use crate::report::{Report, Unit};
+use crate::spread::{Line, Spread, Times};
+use crate::target::SENDER_DESTINATIONS;
+use anyhow::Result;
+use std::time::{Duration, Instant};
+
+/// Rounds of the daemon at most in a second: one a quantum of 5 ms.
+const ROUNDS_PER_SECOND: f64 = 200.0;
+/// A size is measured no longer than this.
+const TIME_MOST: Duration = Duration::from_secs(10);
+
+/// Measures it.
+///
+/// # Errors
+/// When the module refuses its settings.
+pub fn run(setup: &Setup) -> Result<Report> {
+    let sizes: &[usize] = if setup.small { &[100, 1_000] } else { &[100, 1_000, 10_000, 100_000] };
+    let rounds = if setup.small { 500 } else { 4_000 };
+    let mut report = Report::new("module-round", &setup.overrides);
+    report.input("destinations", format!("{sizes:?}, one endpoint each"));
+    report.input("rounds", format!("{rounds} of 5 ms each, {TIME_MOST:?} at the most"));
+    let mut points = Vec::new();
+    for &count in sizes {
+        let mut module = Module::new(count, setup.seed)?;
+        let mut times = Times::new()?;
+        let begun = Instant::now();
+        for _ in 0..rounds {
+            times.record(module.idle_round());
+            if begun.elapsed() > TIME_MOST {
+                break;
+            }
+        }
+        let spread = times.seconds();
+        points.push((count as f64, spread.median));
+        report.figure(format!("idle round at {count}"), Unit::Seconds, spread);
+    }
+    let line = Line::through(&points);
+    report.figure("idle round for each destination", Unit::Seconds, Spread::exact(line.slope));
+    let owned = ROUNDS_PER_SECOND * line.at(SENDER_DESTINATIONS * 1.15).max(0.0);
+    report.bounded(
+        "idle rounds of a busiest owner, one a quantum",
+        Unit::Cores,
+        Spread::exact(owned),
+        SENDER_CPU,
+    );
+    Ok(report)
+}
--- /dev/null
+++ b/crates/scale/src/slopes/placement.rs
@@ -0,0 +1,270 @@
+//! The placement's table: times, size, evenness and movement, by the real `embershore-placement`.
+
+use super::Setup;
+use crate::budget::{
+    BUSIEST_OWNER, Budget, MOVED_BETWEEN_OTHERS, MOVEMENT, SENDER_MEMORY, SHARDS_WITHOUT_OWNER, TABLE_BUILD,
+    TABLE_BYTES, TABLE_CHANGE, TABLE_LOOKUP, ZONE_LOST,
+};
+use crate::hollow_fleet::{filled, first_rack, first_zone, following, list, list_form, seat, vacated};
+use crate::process::resident_bytes;
+use crate::report::{Report, Unit};
+use crate::spread::{Spread, Times};
+use crate::target::{DESTINATIONS, SENDERS};
+use anyhow::Result;
+use embershore_placement::wire::ListForm;
+use embershore_placement::{Change, Changes, MemberList, SHARDS, SeatId, ShardId, Table, shard};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::HashMap;
+use std::hint::black_box;
+use std::time::Instant;
+
+/// Lookups whose time is taken together: one is too short for the clock.
+const LOOKUPS: usize = 1_000;
+/// Lists held at once to measure the memory of one.
+const COPIES: usize = 8;
+
+/// Owned shards, and destinations, of each seat.
+struct Owned {
+    shards: Vec<u32>,
+    destinations: Vec<u32>,
+}
+
+fn owned(table: &Table, seats: usize, destinations: u64) -> Owned {
+    let mut owned = Owned { shards: vec![0; seats], destinations: vec![0; seats] };
+    for number in 0..SHARDS {
+        table.owners(ShardId(number)).iter().for_each(|seat| owned.shards[seat.index()] += 1);
+    }
+    for destination in 0..destinations {
+        let owners = table.owners(shard(destination as i64));
+        owners.iter().for_each(|seat| owned.destinations[seat.index()] += 1);
+    }
+    owned
+}
+
+/// The busiest filled seat by the mean of its own region's filled seats; the largest of all regions.
+fn busiest_by_region(list: &MemberList, counts: &[u32]) -> f64 {
+    let mut regions: HashMap<u16, (f64, f64, f64)> = HashMap::new();
+    for seat in list.seat_ids().filter(|seat| list.member(*seat).is_some()) {
+        let count = f64::from(counts[seat.index()]);
+        let (sum, seats, most) = regions.entry(list.region(seat).0).or_default();
+        (*sum, *seats, *most) = (*sum + count, *seats + 1.0, most.max(count));
+    }
+    regions.values().map(|(sum, seats, most)| most / (sum / seats)).fold(0.0, f64::max)
+}
+
+fn busiest(counts: &[u32]) -> f64 {
+    let most = counts.iter().copied().max().unwrap_or(0);
+    f64::from(most) * counts.len() as f64 / counts.iter().map(|c| f64::from(*c)).sum::<f64>()
+}
+
+/// What moved between two tables.
+#[derive(Default)]
+struct Moved {
+    /// Positions that a seat gained.
+    gained: usize,
+    /// Those of them that neither came from nor went to the seats that changed.
+    between_others: usize,
+}
+
+fn moved(before: &Table, after: &Table, changed: &[SeatId]) -> Moved {
+    let mut moved = Moved::default();
+    for number in 0..SHARDS {
+        let (old, new) = (before.owners(ShardId(number)), after.owners(ShardId(number)));
+        let gained: Vec<&SeatId> = new.iter().filter(|seat| !old.contains(seat)).collect();
+        let is_changed = |seat: &&SeatId| changed.contains(seat);
+        let to_changed = gained.iter().filter(|seat| is_changed(seat)).count();
+        let from_changed = old.iter().filter(|seat| !new.contains(seat)).filter(is_changed).count();
+        moved.gained += gained.len();
+        moved.between_others += gained.len().saturating_sub(to_changed + from_changed);
+    }
+    moved
+}
+
+/// The list and the table of one epoch.
+struct Placement {
+    list: MemberList,
+    table: Table,
+}
+
+impl Placement {
+    fn changed(&self, changes: &Changes) -> Result<Placement> {
+        let list = self.list.apply(changes)?;
+        let mut table = self.table.clone();
+        table.apply(&list, changes);
+        Ok(Placement { list, table })
+    }
+}
+
+fn build_times(list: &MemberList, repeats: usize) -> Vec<f64> {
+    let time = |_| {
+        let begun = Instant::now();
+        black_box(Table::build(list));
+        begun.elapsed().as_secs_f64()
+    };
+    (0..repeats).map(time).collect()
+}
+
+/// The table's part and the whole of taking over a change that is given as JSON.
+fn change_times(placement: &Placement, text: &[u8]) -> Result<(f64, f64)> {
+    let mut table = placement.table.clone();
+    let begun = Instant::now();
+    let changes = Changes::parse_json(text)?;
+    let list = placement.list.apply(&changes)?;
+    let listed = begun.elapsed();
+    table.apply(&list, &changes);
+    let whole = begun.elapsed();
+    black_box((list, table));
+    Ok(((whole - listed).as_secs_f64(), whole.as_secs_f64()))
+}
+
+fn lookup_times(table: &Table, seed: u64, batches: usize) -> Result<Spread> {
+    let (mut random, mut times) = (ChaCha8Rng::seed_from_u64(seed), Times::new()?);
+    for _ in 0..batches {
+        let destinations: Vec<i64> = (0..LOOKUPS).map(|_| random.random_range(0..DESTINATIONS as i64)).collect();
+        let begun = Instant::now();
+        for destination in &destinations {
+            black_box(table.owners(shard(*destination)));
+        }
+        times.record(begun.elapsed());
+    }
+    Ok(times.seconds().scaled(1.0 / LOOKUPS as f64))
+}
+
+/// Resident bytes of one list, once read.
+fn list_memory(text: &[u8]) -> Result<f64> {
+    let before = resident_bytes(std::process::id())?;
+    let lists = (0..COPIES).map(|_| MemberList::parse_json(text)).collect::<Result<Vec<_>, _>>()?;
+    let grown = resident_bytes(std::process::id())? - before;
+    drop(black_box(lists));
+    Ok(grown / COPIES as f64)
+}
+
+fn parse_times(text: &[u8], repeats: usize) -> Result<Vec<f64>> {
+    let time = |_| {
+        let begun = Instant::now();
+        black_box(MemberList::parse_json(text)?);
+        Ok(begun.elapsed().as_secs_f64())
+    };
+    (0..repeats).map(time).collect()
+}
+
+fn time_figures(report: &mut Report, setup: &Setup, placement: &Placement, form: &ListForm) -> Result<()> {
+    let repeats = if setup.small { 3 } else { 15 };
+    let text = serde_json::to_vec(form)?;
+    let memory = list_memory(&text)?;
+    let table_bytes = placement.table.bytes() as f64;
+    report.figure("list as JSON", Unit::Bytes, Spread::exact(text.len() as f64));
+    report.figure("list in memory", Unit::Bytes, Spread::exact(memory));
+    report.bounded("table in memory", Unit::Bytes, Spread::exact(table_bytes), TABLE_BYTES);
+    let both = Spread::exact(2.0 * (memory + table_bytes));
+    report.bounded("two epochs' lists and tables", Unit::Bytes, both, SENDER_MEMORY);
+    report.figure("list read from JSON", Unit::Seconds, Spread::of(&parse_times(&text, repeats)?));
+    let builds = build_times(&placement.list, repeats);
+    report.bounded("table built", Unit::Seconds, Spread::of(&builds), TABLE_BUILD);
+    let senders = placement.list.seat_count();
+    let events: [(&str, Changes); 3] = [
+        ("one member lost", vacated(&placement.list, [senders / 2])),
+        ("one seat appended", following(&placement.list, vec![Change::Append(seat(senders))])),
+        ("a zone lost", vacated(&placement.list, first_zone(senders))),
+    ];
+    for (name, changes) in events {
+        let text = changes.to_json();
+        let (mut table, mut whole) = (Vec::new(), Vec::new());
+        for _ in 0..repeats {
+            let (table_part, all) = change_times(placement, &text)?;
+            table.push(table_part);
+            whole.push(all);
+        }
+        // A zone is 1,364 changes at once.
+        if changes.changes.len() == 1 {
+            report.bounded(format!("{name}: table"), Unit::Seconds, Spread::of(&table), TABLE_CHANGE);
+        } else {
+            report.figure(format!("{name}: table"), Unit::Seconds, Spread::of(&table));
+        }
+        report.figure(format!("{name}: decoding, list and table"), Unit::Seconds, Spread::of(&whole));
+    }
+    let lookups = lookup_times(&placement.table, setup.seed, if setup.small { 20 } else { 1_000 })?;
+    report.bounded("one lookup", Unit::Seconds, lookups, TABLE_LOOKUP);
+    Ok(())
+}
+
+fn evenness(report: &mut Report, when: &str, placement: &Placement, destinations: u64, budget: Budget) {
+    let owned = owned(&placement.table, placement.list.seat_count(), destinations);
+    let by_shards = busiest_by_region(&placement.list, &owned.shards);
+    let by_destinations = busiest_by_region(&placement.list, &owned.destinations);
+    report.bounded(format!("{when}: busiest by shards"), Unit::Ratio, Spread::exact(by_shards), budget);
+    report.bounded(
+        format!("{when}: busiest by destinations"),
+        Unit::Ratio,
+        Spread::exact(by_destinations),
+        budget,
+    );
+    let global = busiest(&owned.destinations);
+    report.figure(
+        format!("{when}: busiest by destinations, by the mean of all seats"),
+        Unit::Ratio,
+        Spread::exact(global),
+    );
+    let orphans = (0..SHARDS).filter(|number| placement.table.owners(ShardId(*number)).is_empty()).count();
+    report.bounded(
+        format!("{when}: shards without an owner"),
+        Unit::Count,
+        Spread::exact(orphans as f64),
+        SHARDS_WITHOUT_OWNER,
+    );
+}
+
+/// Loses some members one by one and appends some seats, and looks at what each moves.
+fn movement(report: &mut Report, setup: &Setup, placement: &Placement) -> Result<()> {
+    let mut random = ChaCha8Rng::seed_from_u64(setup.seed);
+    let (senders, samples) = (placement.list.seat_count(), if setup.small { 3 } else { 20 });
+    let (mut lost, mut added, mut between) = (Vec::new(), Vec::new(), 0);
+    for _ in 0..samples {
+        let gone = SeatId(random.random_range(0..senders) as u16);
+        let after = placement.changed(&vacated(&placement.list, [gone.index()]))?;
+        let share = placement.table.shards_of(gone).count();
+        let gone_moved = moved(&placement.table, &after.table, &[gone]);
+        lost.push(gone_moved.gained as f64 / share as f64);
+        let back = after.changed(&filled(&after.list, [gone.index()], 1))?;
+        let back_moved = moved(&after.table, &back.table, &[gone]);
+        between += gone_moved.between_others + back_moved.between_others;
+    }
+    for extra in 0..samples {
+        let number = senders + extra;
+        let append = following(&placement.list, vec![Change::Append(seat(number))]);
+        let after = placement.changed(&append)?;
+        let new = SeatId(senders as u16);
+        let share = after.table.shards_of(new).count();
+        let new_moved = moved(&placement.table, &after.table, &[new]);
+        added.push(new_moved.gained as f64 / share as f64);
+        between += new_moved.between_others;
+    }
+    report.bounded("a member lost moves, by its share", Unit::Ratio, Spread::of(&lost), MOVEMENT);
+    report.bounded("a seat added moves, by its share", Unit::Ratio, Spread::of(&added), MOVEMENT);
+    let between = Spread::exact(between as f64);
+    report.bounded("moved between others", Unit::Count, between, MOVED_BETWEEN_OTHERS);
+    Ok(())
+}
+
+/// Measures it.
+///
+/// # Errors
+/// When a list or a change is refused.
+pub fn run(setup: &Setup) -> Result<Report> {
+    let senders = if setup.small { 500 } else { SENDERS as usize };
+    let destinations = if setup.small { 100_000 } else { DESTINATIONS };
+    let mut report = Report::new("placement", &setup.overrides);
+    report.input("members", senders);
+    report.input("destinations", format!("{destinations}, numbered from 0"));
+    let list = list(senders)?;
+    let placement = Placement { table: Table::build(&list), list };
+    time_figures(&mut report, setup, &placement, &list_form(senders))?;
+    evenness(&mut report, "all there", &placement, destinations, BUSIEST_OWNER);
+    movement(&mut report, setup, &placement)?;
+    let rack = placement.changed(&vacated(&placement.list, first_rack(senders)))?;
+    evenness(&mut report, "a rack lost", &rack, destinations, ZONE_LOST);
+    let zone = placement.changed(&vacated(&placement.list, first_zone(senders)))?;
+    evenness(&mut report, "a zone lost", &zone, destinations, ZONE_LOST);
+    Ok(report)
+}
