Scale package: placement, a hollow fleet of 15,000, budgets that fail by name

The mechanism that the slopes ask for is measured at full size: the table's times, bytes, evenness and movement, the load by skew, and what each sender is told. Small sizes run as tests; their times have a margin of 30, counts and bytes have none.

--- a/crates/scale/src/hollow_fleet.rs
+++ b/crates/scale/src/hollow_fleet.rs
@@ -37,7 +37,8 @@
 
 /// The whole fleet's list, every seat filled.
 pub fn list_form(senders: usize) -> ListForm {
-    let region = |(number, zones): (usize, &u32)| RegionForm { name: format!("region-{number}"), share: *zones };
+    let region =
+        |(number, zones): (usize, &u32)| RegionForm { name: format!("region-{number}"), share: *zones };
     ListForm {
         epoch: 1,
         scheme: SCHEME,
--- a/crates/scale/src/main.rs
+++ b/crates/scale/src/main.rs
@@ -7,6 +7,7 @@
 #![forbid(unsafe_code)]
 
 mod budget;
+mod hollow_fleet;
 mod hollow_module;
 mod process;
 mod report;
@@ -58,6 +59,10 @@
     Held,
     /// Datagrams and bytes of the membership gossip by the number of members.
     Membership,
+    /// The placement's table: times, size, evenness, movement.
+    Placement,
+    /// 15,000 hollow senders: what each owns, its load, and what it is told of changes.
+    Fleet,
     /// Reading the whole list as a stream.
     ListStream,
     /// A hollow result against real processes.
@@ -66,8 +71,10 @@
     All,
 }
 
-const ALL: [Slope; 7] = [
+const ALL: [Slope; 9] = [
     Slope::ModuleRound,
+    Slope::Placement,
+    Slope::Fleet,
     Slope::ListStream,
     Slope::Membership,
     Slope::ListMemory,
@@ -84,6 +91,8 @@
             Slope::ModuleRound => slopes::module_round::run(setup),
             Slope::Held => slopes::held::run(setup),
             Slope::Membership => slopes::membership::run(setup),
+            Slope::Placement => slopes::placement::run(setup),
+            Slope::Fleet => slopes::fleet::run(setup),
             Slope::ListStream => slopes::list_stream::run(setup),
             Slope::HollowCheck => slopes::hollow_check::run(setup),
             Slope::All => anyhow::bail!("'all' is no slope of its own"),
--- a/crates/scale/src/process/mod.rs
+++ b/crates/scale/src/process/mod.rs
@@ -11,6 +11,7 @@
 pub use daemon::{Daemon, KEPT_MS, Options};
 pub use directory::{Directory, Endpoints};
 pub use receiver::{Receiver, Refusing};
+pub use usage::resident_bytes;
 
 use anyhow::Result;
 use std::future::Future;
--- a/crates/scale/src/report.rs
+++ b/crates/scale/src/report.rs
@@ -1,6 +1,7 @@
 //! What a slope reports: its inputs, its figures with their spread, and how each stands to its budget.
 
 use crate::budget::{Budget, Overrides};
+use crate::slopes::Setup;
 use crate::spread::Spread;
 use serde::Serialize;
 use std::collections::BTreeMap;
@@ -27,6 +28,10 @@
 }
 
 impl Unit {
+    fn is_time(self) -> bool {
+        matches!(self, Unit::Seconds | Unit::Cores)
+    }
+
     fn show(self, value: f64) -> String {
         match self {
             Unit::Seconds => show_seconds(value),
@@ -96,13 +101,25 @@
     pub remarks: Vec<String>,
     #[serde(skip)]
     overrides: Overrides,
+    /// Times may be so many times their budget.
+    #[serde(skip)]
+    time_margin: f64,
 }
 
+/// At the small sizes the code is not optimised and the machine is busy with other tests: there a time only catches a fault.
+const SMALL_TIME_MARGIN: f64 = 30.0;
+
 impl Report {
     /// One without a figure yet.
-    pub fn new(slope: &'static str, overrides: &Overrides) -> Self {
-        let overrides = overrides.clone();
-        Report { slope, inputs: BTreeMap::new(), figures: Vec::new(), remarks: Vec::new(), overrides }
+    pub fn new(slope: &'static str, setup: &Setup) -> Self {
+        Report {
+            slope,
+            inputs: BTreeMap::new(),
+            figures: Vec::new(),
+            remarks: Vec::new(),
+            overrides: setup.overrides.clone(),
+            time_margin: if setup.small { SMALL_TIME_MARGIN } else { 1.0 },
+        }
     }
 
     /// Notes an input.
@@ -117,7 +134,8 @@
 
     /// Adds a figure whose median must be within the budget.
     pub fn bounded(&mut self, name: impl Into<String>, unit: Unit, spread: Spread, budget: Budget) {
-        let budget = self.overrides.applied(budget);
+        let margin = if unit.is_time() { self.time_margin } else { 1.0 };
+        let budget = self.overrides.applied(Budget { limit: budget.limit * margin, ..budget });
         // A figure that is no number is no figure within its budget.
         let within = spread.median <= budget.limit;
         let verdict = Some(if within { Verdict::Within } else { Verdict::Over });
--- a/crates/scale/src/slopes/fleet.rs
+++ b/crates/scale/src/slopes/fleet.rs
@@ -8,13 +8,12 @@
 use crate::skew::{total_for, width, zipf_rates};
 use crate::spread::Spread;
 use crate::target::{
-    CHANGES_PER_DAY, DESTINATIONS, LOST_PER_DAY, REPLACED_PER_DAY, REPLICAS, SENDERS, SENDER_MESSAGES_PER_SECOND,
+    CHANGES_PER_DAY, DESTINATIONS, LOST_PER_DAY, REPLACED_PER_DAY, REPLICAS, SENDER_MESSAGES_PER_SECOND,
+    SENDERS,
 };
 use anyhow::Result;
 use embershore_placement::wire::WideForm;
-use embershore_placement::{
-    Answer, Change, Changes, MAX_WIDTH, MemberList, SeatId, Table, shard, sub_shard,
-};
+use embershore_placement::{Answer, Change, Changes, MAX_WIDTH, MemberList, SeatId, Table, shard, sub_shard};
 use embershore_protocol::listing::Line;
 use rand::SeedableRng;
 use rand::seq::SliceRandom;
@@ -99,7 +98,13 @@
     }
 }
 
-fn load_figures(report: &mut Report, setup: &Setup, list: &MemberList, table: &Table, destinations: u64) -> Result<()> {
+fn load_figures(
+    report: &mut Report,
+    setup: &Setup,
+    list: &MemberList,
+    table: &Table,
+    destinations: u64,
+) -> Result<()> {
     for exponent in EXPONENTS {
         let load = Load::new(destinations, list.seat_count(), exponent, setup.seed);
         let name = format!("skew {exponent}");
@@ -113,11 +118,8 @@
         report.figure(format!("{name}: their parts"), Unit::Count, Spread::exact(parts));
         let told = widened.to_json().len() as f64;
         report.figure(format!("{name}: bytes to tell them"), Unit::Bytes, Spread::exact(told));
-        let spread = if count > 0.0 {
-            Spread::of(&load.by_seat(table, &list.apply(&widened)?))
-        } else {
-            plain
-        };
+        let spread =
+            if count > 0.0 { Spread::of(&load.by_seat(table, &list.apply(&widened)?)) } else { plain };
         report.figure(format!("{name}: a sender's messages, wide"), Unit::PerSecond, spread);
     }
     Ok(())
@@ -159,15 +161,27 @@
     Ok(vec![
         Told { name: "nothing new", bytes: 0.0, seconds: ASK_EVERY },
         Told { name: "a day's churn", bytes: per_day * (gone + back), seconds: DAY },
-        Told { name: "a day's configuration, told to all", bytes: f64::from(CHANGES_PER_DAY) * line, seconds: DAY },
-        Told { name: "all of it in one hour, told to all", bytes: f64::from(CHANGES_PER_DAY) * line, seconds: HOUR },
+        Told {
+            name: "a day's configuration, told to all",
+            bytes: f64::from(CHANGES_PER_DAY) * line,
+            seconds: DAY,
+        },
+        Told {
+            name: "all of it in one hour, told to all",
+            bytes: f64::from(CHANGES_PER_DAY) * line,
+            seconds: HOUR,
+        },
         Told {
             name: "all of it in one hour, told to owners",
             bytes: f64::from(CHANGES_PER_DAY) * line * f64::from(REPLICAS) / senders as f64,
             seconds: HOUR,
         },
         Told { name: "a rack lost", bytes: json_bytes(&vacated(list, rack)), seconds: CHANGE_SECONDS },
-        Told { name: "a zone lost", bytes: json_bytes(&vacated(list, zone.clone())), seconds: CHANGE_SECONDS },
+        Told {
+            name: "a zone lost",
+            bytes: json_bytes(&vacated(list, zone.clone())),
+            seconds: CHANGE_SECONDS,
+        },
         Told {
             name: "a zone back, each member told as it is ready over 60 s",
             bytes: json_bytes(&filled(&without_zone, zone, 1)),
@@ -177,8 +191,21 @@
     ])
 }
 
+/// How long a control agent takes to write one answer, with a zone lost in it.
+fn answer_times(list: &MemberList, repeats: usize) -> Vec<f64> {
+    let changes = vacated(list, first_zone(list.seat_count()));
+    let time = |_| {
+        let begun = Instant::now();
+        std::hint::black_box(changes.to_json());
+        begun.elapsed().as_secs_f64()
+    };
+    (0..repeats).map(time).collect()
+}
+
 fn traffic_figures(report: &mut Report, list: &MemberList) -> Result<()> {
     let nothing_new = following(list, Vec::new());
+    let answers = Spread::of(&answer_times(list, 20));
+    report.figure("a zone lost: the control agent writes one answer", Unit::Seconds, answers);
     let asking = (HEADS_BYTES + json_bytes(&nothing_new)) / ASK_EVERY;
     for event in events(list)? {
         report.figure(format!("{}: bytes", event.name), Unit::Bytes, Spread::exact(event.bytes));
@@ -204,14 +231,22 @@
 
 fn apply_figures(report: &mut Report, setup: &Setup, list: &MemberList, table: &Table) -> Result<()> {
     let (senders, samples) = (list.seat_count(), if setup.small { 5 } else { 100 });
-    let events = [("one member lost", vec![senders / 2]), ("a rack lost", first_rack(senders)), ("a zone lost", first_zone(senders))];
+    let events = [
+        ("one member lost", vec![senders / 2]),
+        ("a rack lost", first_rack(senders)),
+        ("a zone lost", first_zone(senders)),
+    ];
     for (name, seats) in events {
         let text = vacated(list, seats).to_json();
         let times = (0..samples).map(|_| apply_time(list, table, &text)).collect::<Result<Vec<_>>>()?;
         let spread = Spread::of(&times);
         report.figure(format!("{name}: one sender takes it over"), Unit::Seconds, spread);
         let all = Spread::exact(spread.median * senders as f64);
-        report.figure(format!("{name}: all senders one after another, from {samples} samples"), Unit::Seconds, all);
+        report.figure(
+            format!("{name}: all senders one after another, from {samples} samples"),
+            Unit::Seconds,
+            all,
+        );
     }
     Ok(())
 }
@@ -223,7 +258,7 @@
 pub fn run(setup: &Setup) -> Result<Report> {
     let senders = if setup.small { 500 } else { SENDERS as usize };
     let destinations = if setup.small { 100_000 } else { DESTINATIONS };
-    let mut report = Report::new("fleet", &setup.overrides);
+    let mut report = Report::new("fleet", setup);
     report.input("hollow senders", senders);
     report.input("destinations", destinations);
     report.input("messages a second", format!("{SENDER_MESSAGES_PER_SECOND:.0} a sender in the mean"));
--- a/crates/scale/src/slopes/held.rs
+++ b/crates/scale/src/slopes/held.rs
@@ -70,7 +70,7 @@
 pub fn run(setup: &Setup) -> Result<Report> {
     let sizes: &[usize] = if setup.small { &[500, 2_000] } else { &[10_000, 40_000, 100_000] };
     let repeats = if setup.small { 1 } else { 3 };
-    let mut report = Report::new("held", &setup.overrides);
+    let mut report = Report::new("held", setup);
     report.input(
         "held",
         format!("{sizes:?} messages of 200 bytes for {DESTINATIONS} destinations that refuse"),
--- a/crates/scale/src/slopes/list_memory.rs
+++ b/crates/scale/src/slopes/list_memory.rs
@@ -38,7 +38,7 @@
 pub fn run(setup: &Setup) -> Result<Report> {
     let sizes: &[usize] = if setup.small { &[100, 500, 1_000] } else { &[1_000, 4_000, 10_000, 25_000] };
     let repeats = if setup.small { 1 } else { 5 };
-    let mut report = Report::new("list-memory", &setup.overrides);
+    let mut report = Report::new("list-memory", setup);
     report.input("destinations", format!("{sizes:?}, one endpoint each"));
     report.input("repeats", repeats);
     report.input("binary", setup.binary.display());
--- a/crates/scale/src/slopes/list_stream.rs
+++ b/crates/scale/src/slopes/list_stream.rs
@@ -39,7 +39,7 @@
     let (mut text, mut lines) = (Vec::new(), Vec::new());
     while reader.read_until(b'\n', &mut text)? > 0 {
         let line: Line = serde_json::from_slice(&text)?;
-        if line.group.unsigned_abs() % OWNED_OF == 0 {
+        if line.group.unsigned_abs().is_multiple_of(OWNED_OF) {
             lines.push(line);
         }
         text.clear();
@@ -61,7 +61,7 @@
 pub fn run(setup: &Setup) -> Result<Report> {
     let count = if setup.small { 50_000 } else { DESTINATIONS };
     let repeats = if setup.small { 1 } else { 3 };
-    let mut report = Report::new("list-stream", &setup.overrides);
+    let mut report = Report::new("list-stream", setup);
     report.input("destinations", format!("{count}, one endpoint each"));
     report.input("repeats", repeats);
     let mut file = tempfile::tempfile()?;
--- a/crates/scale/src/slopes/membership.rs
+++ b/crates/scale/src/slopes/membership.rs
@@ -113,7 +113,7 @@
 pub fn run(setup: &Setup) -> Result<Report> {
     let sizes: &[usize] = if setup.small { &[12, 40] } else { &[12, 100, 300, MEMBERS_MOST] };
     let (repeats, settle, span) = if setup.small { (1, 20, 5) } else { (3, 120, 20) };
-    let mut report = Report::new("membership", &setup.overrides);
+    let mut report = Report::new("membership", setup);
     report.input("members", format!("{sizes:?}"));
     report.input(
         "simulated",
--- a/crates/scale/src/slopes/message_cpu.rs
+++ b/crates/scale/src/slopes/message_cpu.rs
@@ -1,7 +1,7 @@
 //! Processor time of a real daemon for each message, by the length of its list.
 
 use super::Setup;
-use crate::budget::MESSAGE_CPU;
+use crate::budget::{BUSIEST_OWNER, MESSAGE_CPU};
 use crate::process::{Daemon, Directory, Endpoints, Options, Receiver, offer, on_this_thread};
 use crate::report::{Report, Unit};
 use crate::spread::{Line, Spread};
@@ -39,9 +39,10 @@
 /// # Errors
 /// When the daemon can't be started, or refuses more than one message in twenty.
 pub fn run(setup: &Setup) -> Result<Report> {
-    let sizes: &[usize] = if setup.small { &[100, 1_000] } else { &[100, 1_000, 10_000] };
+    let owned = (SENDER_DESTINATIONS * BUSIEST_OWNER.limit) as usize;
+    let sizes: &[usize] = if setup.small { &[100, owned] } else { &[100, owned, 1_000, 10_000] };
     let (repeats, span) = if setup.small { (1, Duration::from_secs(2)) } else { (5, Duration::from_secs(8)) };
-    let mut report = Report::new("message-cpu", &setup.overrides);
+    let mut report = Report::new("message-cpu", setup);
     report.input("destinations", format!("{sizes:?}"));
     report.input("load", format!("{RATE} messages a second of 200 bytes for {span:?}, {repeats} times"));
     report.input("binary", setup.binary.display());
@@ -54,28 +55,27 @@
         let spread = Spread::of(&samples);
         points.push((listed as f64, spread.median));
         report.figure(format!("a message, {listed} listed, {ACTIVE} active"), Unit::Seconds, spread);
+        let cores = spread.scaled(SENDER_MESSAGES_PER_SECOND);
+        let name = format!("a sender's messages at the target, {listed} listed");
+        if listed == owned {
+            report.bounded(name, Unit::Cores, cores, MESSAGE_CPU);
+        } else {
+            report.figure(name, Unit::Cores, cores);
+        }
     }
     if !setup.small {
-        let samples: Result<Vec<f64>> =
-            (0..repeats).map(|_| on_this_thread(sample(setup, 10_000, 10_000, span))).collect();
-        report.figure("a message, 10000 listed, all active", Unit::Seconds, Spread::of(&samples?));
+        for listed in [owned, 10_000] {
+            let samples: Result<Vec<f64>> =
+                (0..repeats).map(|_| on_this_thread(sample(setup, listed, listed, span))).collect();
+            report.figure(
+                format!("a message, {listed} listed, all active"),
+                Unit::Seconds,
+                Spread::of(&samples?),
+            );
+        }
     }
     let line = Line::through(&points);
     report.figure("a message for each listed destination", Unit::Seconds, Spread::exact(line.slope));
     report.figure("a message without a list", Unit::Seconds, Spread::exact(line.intercept));
-    let longest = sizes.last().copied().unwrap_or(0) as f64;
-    let today = SENDER_MESSAGES_PER_SECOND * line.at(longest);
-    report.figure(
-        format!("extrapolated: a sender's messages, {longest} listed"),
-        Unit::Cores,
-        Spread::exact(today),
-    );
-    let owned = SENDER_MESSAGES_PER_SECOND * line.at(SENDER_DESTINATIONS * 1.15);
-    report.bounded(
-        "extrapolated: a sender's messages, a busiest owner's part listed",
-        Unit::Cores,
-        Spread::exact(owned),
-        MESSAGE_CPU,
-    );
     Ok(report)
 }
--- a/crates/scale/src/slopes/mod.rs
+++ b/crates/scale/src/slopes/mod.rs
@@ -1,5 +1,6 @@
 //! The slopes, one module each. Each returns a [`Report`].
 
+pub mod fleet;
 pub mod held;
 pub mod hollow_check;
 pub mod list_memory;
@@ -7,6 +8,7 @@
 pub mod membership;
 pub mod message_cpu;
 pub mod module_round;
+pub mod placement;
 
 use crate::budget::Overrides;
 use std::path::PathBuf;
--- a/crates/scale/src/slopes/module_round.rs
+++ b/crates/scale/src/slopes/module_round.rs
@@ -1,7 +1,7 @@
 //! Idle rounds of the decision module, without a process around it.
 
 use super::Setup;
-use crate::budget::SENDER_CPU;
+use crate::budget::{BUSIEST_OWNER, SENDER_CPU};
 use crate::hollow_module::Module;
 use crate::report::{Report, Unit};
 use crate::spread::{Line, Spread, Times};
@@ -19,9 +19,11 @@
 /// # Errors
 /// When the module refuses its settings.
 pub fn run(setup: &Setup) -> Result<Report> {
-    let sizes: &[usize] = if setup.small { &[100, 1_000] } else { &[100, 1_000, 10_000, 100_000] };
+    let owned = (SENDER_DESTINATIONS * BUSIEST_OWNER.limit) as usize;
+    let sizes: &[usize] =
+        if setup.small { &[100, owned, 1_000] } else { &[100, owned, 1_000, 10_000, 100_000] };
     let rounds = if setup.small { 500 } else { 4_000 };
-    let mut report = Report::new("module-round", &setup.overrides);
+    let mut report = Report::new("module-round", setup);
     report.input("destinations", format!("{sizes:?}, one endpoint each"));
     report.input("rounds", format!("{rounds} of 5 ms each, {TIME_MOST:?} at the most"));
     let mut points = Vec::new();
@@ -38,15 +40,12 @@
         let spread = times.seconds();
         points.push((count as f64, spread.median));
         report.figure(format!("idle round at {count}"), Unit::Seconds, spread);
+        if count == owned {
+            let cores = spread.scaled(ROUNDS_PER_SECOND);
+            report.bounded("idle rounds of a busiest owner, one a quantum", Unit::Cores, cores, SENDER_CPU);
+        }
     }
     let line = Line::through(&points);
     report.figure("idle round for each destination", Unit::Seconds, Spread::exact(line.slope));
-    let owned = ROUNDS_PER_SECOND * line.at(SENDER_DESTINATIONS * 1.15).max(0.0);
-    report.bounded(
-        "idle rounds of a busiest owner, one a quantum",
-        Unit::Cores,
-        Spread::exact(owned),
-        SENDER_CPU,
-    );
     Ok(report)
 }
--- a/crates/scale/src/slopes/placement.rs
+++ b/crates/scale/src/slopes/placement.rs
@@ -58,6 +58,17 @@
     f64::from(most) * counts.len() as f64 / counts.iter().map(|c| f64::from(*c)).sum::<f64>()
 }
 
+/// The busiest seat where destinations have numbers at random in place of dense ones.
+fn busiest_sparse(placement: &Placement, destinations: u64, seed: u64) -> f64 {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let mut counts = vec![0; placement.list.seat_count()];
+    for _ in 0..destinations {
+        let owners = placement.table.owners(shard(random.random()));
+        owners.iter().for_each(|seat| counts[seat.index()] += 1);
+    }
+    busiest_by_region(&placement.list, &counts)
+}
+
 /// What moved between two tables.
 #[derive(Default)]
 struct Moved {
@@ -121,7 +132,8 @@
 fn lookup_times(table: &Table, seed: u64, batches: usize) -> Result<Spread> {
     let (mut random, mut times) = (ChaCha8Rng::seed_from_u64(seed), Times::new()?);
     for _ in 0..batches {
-        let destinations: Vec<i64> = (0..LOOKUPS).map(|_| random.random_range(0..DESTINATIONS as i64)).collect();
+        let destinations: Vec<i64> =
+            (0..LOOKUPS).map(|_| random.random_range(0..DESTINATIONS as i64)).collect();
         let begun = Instant::now();
         for destination in &destinations {
             black_box(table.owners(shard(*destination)));
@@ -254,13 +266,19 @@
 pub fn run(setup: &Setup) -> Result<Report> {
     let senders = if setup.small { 500 } else { SENDERS as usize };
     let destinations = if setup.small { 100_000 } else { DESTINATIONS };
-    let mut report = Report::new("placement", &setup.overrides);
+    let mut report = Report::new("placement", setup);
     report.input("members", senders);
     report.input("destinations", format!("{destinations}, numbered from 0"));
     let list = list(senders)?;
     let placement = Placement { table: Table::build(&list), list };
     time_figures(&mut report, setup, &placement, &list_form(senders))?;
     evenness(&mut report, "all there", &placement, destinations, BUSIEST_OWNER);
+    let sparse = busiest_sparse(&placement, destinations, setup.seed);
+    report.figure(
+        "all there, numbers at random: busiest by destinations",
+        Unit::Ratio,
+        Spread::exact(sparse),
+    );
     movement(&mut report, setup, &placement)?;
     let rack = placement.changed(&vacated(&placement.list, first_rack(senders)))?;
     evenness(&mut report, "a rack lost", &rack, destinations, ZONE_LOST);
