--- a/crates/scale/tests/small.rs
+++ b/crates/scale/tests/small.rs
@@ -34,8 +34,17 @@
 fn every_slope_is_within_its_budgets_at_its_small_size() {
     let reports = small("all");
     let slopes: Vec<&str> = reports.iter().filter_map(|report| report["slope"].as_str()).collect();
-    let expected =
-        ["module-round", "list-stream", "membership", "list-memory", "message-cpu", "held", "hollow-check"];
+    let expected = [
+        "module-round",
+        "placement",
+        "fleet",
+        "list-stream",
+        "membership",
+        "list-memory",
+        "message-cpu",
+        "held",
+        "hollow-check",
+    ];
     assert_eq!(slopes, expected);
     for report in &reports {
         assert!(report["figures"].as_array().is_some_and(|figures| !figures.is_empty()), "{report}");
