Rehearsal: rename facts to parameters

Cause: 'facts' were what the field calls the parameters of a run. Change: the module facts is parameters, Facts is Parameters, and so are the fields of Scenario, Table and Event::Run. The history's first record keeps the field name 'facts' on disk, so older histories are read as before; a new test guards that, seen to fail without the serde rename.

--- a/crates/rehearsal/src/history.rs
+++ b/crates/rehearsal/src/history.rs
@@ -4,7 +4,7 @@
 //! [`QUEUE_MOST`] records, so that neither a slow disk nor a long run costs memory; a disk that can't keep up holds
 //! the rig up, which then shows as lateness and makes the run void.
 
-use crate::facts::Facts;
+use crate::parameters::Parameters;
 use crate::span::Micros;
 use serde::{Deserialize, Serialize};
 use std::cell::RefCell;
@@ -107,7 +107,8 @@
         /// [`FORMAT`].
         format: u32,
         /// What the verdict depends on.
-        facts: Box<Facts>,
+        #[serde(rename = "facts")]
+        parameters: Box<Parameters>,
     },
     /// An endpoint exists from now on.
     Endpoint {
--- a/crates/rehearsal/src/html/mod.rs
+++ b/crates/rehearsal/src/html/mod.rs
@@ -42,13 +42,13 @@
     };
     add("Messages a second, by when they were handed in first", offered(table, seconds), None)?;
     add("Latency by class: the longest delivery of each second, in s", latencies(table, seconds), None)?;
-    let slots: u32 = table.facts.senders.iter().map(|s| s.slots).sum();
+    let slots: u32 = table.parameters.senders.iter().map(|s| s.slots).sum();
     add(
         &format!("Calls out at once, all senders ({slots} slots)"),
         slots_used(table, seconds),
         Some(f64::from(slots)),
     )?;
-    let room: u32 = table.facts.senders.iter().map(|s| s.max_open).sum();
+    let room: u32 = table.parameters.senders.iter().map(|s| s.max_open).sum();
     add(&format!("Messages held, all senders (room for {room})"), held(table, seconds), None)?;
     let mut busiest: Vec<_> = report.receivers.iter().collect();
     busiest.sort_by_key(|r| (std::cmp::Reverse(r.calls), r.number));
@@ -150,7 +150,7 @@
 fn latencies(table: &Table, seconds: usize) -> Vec<Line> {
     let colours = [GREEN, AMBER, CRIMSON, SLATE];
     let first = table.first_offers();
-    let class = |(n, c): (usize, &crate::facts::Class)| {
+    let class = |(n, c): (usize, &crate::parameters::Class)| {
         let mut values = vec![0.0; seconds];
         for m in table.messages.iter().filter(|m| m.class == n) {
             if let Some(t) = table.delivered(m) {
@@ -161,7 +161,7 @@
         }
         Line { name: c.name.clone(), colour: colours[n % colours.len()], values }
     };
-    table.facts.classes.iter().enumerate().map(class).collect()
+    table.parameters.classes.iter().enumerate().map(class).collect()
 }
 
 /// The most that were open in each second, of spans from and to.
--- a/crates/rehearsal/src/html/returns.rs
+++ b/crates/rehearsal/src/html/returns.rs
@@ -59,7 +59,7 @@
     };
     let most = limit(1.0).iter().map(|p| p.1).fold(1.0, f64::max);
     let most = r.loads.iter().map(|l| l.sent).fold(most, f64::max) * 1.05;
-    let rows = table.facts.senders.len().clamp(1, ROWS_MOST);
+    let rows = table.parameters.senders.len().clamp(1, ROWS_MOST);
     let mut svg = String::new();
     {
         let area = SVGBackend::with_string(&mut svg, SIZE).into_drawing_area();
--- a/crates/rehearsal/src/judge/cold.rs
+++ b/crates/rehearsal/src/judge/cold.rs
@@ -21,7 +21,7 @@
         }
         // It lies there from the first time on; what comes after pushes nothing over.
         let Some(load) = r.loads.iter().find(|l| l.sent > l.beyond) else { continue };
-        let (number, window) = (r.receiver, table.facts.rules.fall_window / 1000);
+        let (number, window) = (r.receiver, table.parameters.rules.fall_window / 1000);
         let what = format!(
             "receiver {number} was sent a load of {:.1} within {window} ms, {} ms after its return, where {:.1} pushes it \
              over; {:.1} of it by senders that had seen it fail",
--- a/crates/rehearsal/src/judge/drains.rs
+++ b/crates/rehearsal/src/judge/drains.rs
@@ -7,7 +7,7 @@
 
 pub(super) fn check(table: &Table) -> Findings {
     let mut found = Findings::new();
-    let grace = table.facts.rules.drain_grace + ALLOWANCE;
+    let grace = table.parameters.rules.drain_grace + ALLOWANCE;
     // Per sender and endpoint: from when to when nothing new may go there.
     let mut shut: BTreeMap<(usize, &str), Vec<(Micros, Micros)>> = BTreeMap::new();
     for ((sender, endpoint), told) in &table.told {
--- a/crates/rehearsal/src/judge/lost.rs
+++ b/crates/rehearsal/src/judge/lost.rs
@@ -12,7 +12,7 @@
 pub(super) fn check(table: &Table) -> Findings {
     let mut found = Findings::new();
     for (t, sender, how) in &table.crashes {
-        let name = table.facts.senders.get(*sender).map_or("?", |s| s.name.as_str());
+        let name = table.parameters.senders.get(*sender).map_or("?", |s| s.name.as_str());
         found.offence(*t, None, None, format!("sender {name} ended by itself: {how}"));
     }
     let mut unjudged = 0;
--- a/crates/rehearsal/src/judge/returns.rs
+++ b/crates/rehearsal/src/judge/returns.rs
@@ -2,7 +2,7 @@
 //! The rule, the report and the pictures read the same.
 
 use super::{Attempt, Call, Table};
-use crate::facts::Receiver;
+use crate::parameters::Receiver;
 use crate::span::Micros;
 use std::collections::{BTreeSet, VecDeque};
 
@@ -95,7 +95,7 @@
     /// What pushes the receiver over so long after its return.
     pub fn beyond(&self, table: &Table, since: Micros) -> f64 {
         let capacity = table.receiver(self.receiver).map_or(0.0, |r| r.capacity_after(since));
-        table.facts.rules.fall_beyond(capacity * self.part)
+        table.parameters.rules.fall_beyond(capacity * self.part)
     }
 }
 
@@ -150,7 +150,7 @@
         } else {
             PushEnd::TurnedAway
         };
-        let weight = table.facts.rules.weight(c.ids.len());
+        let weight = table.parameters.rules.weight(c.ids.len());
         Push { t: c.t, sender: c.sender, weight, call: Some(*number), end }
     };
     let probes = table.probes.iter().filter(|(_, endpoint, ..)| here(endpoint));
@@ -168,7 +168,7 @@
 }
 
 fn loads(table: &Table, receiver: &Receiver, r: &Return) -> Vec<Load> {
-    let window = table.facts.rules.fall_window;
+    let window = table.parameters.rules.fall_window;
     let mut within: VecDeque<&Push> = VecDeque::new();
     let mut loads = Vec::new();
     for (place, push) in r.pushes.iter().enumerate() {
--- a/crates/rehearsal/src/judge/service.rs
+++ b/crates/rehearsal/src/judge/service.rs
@@ -99,14 +99,14 @@
     let whole = served("whole run", errands.iter());
     let (worst_window_from, worst_window) = worst_window(&errands, &whole);
     let classes: Vec<Served> = table
-        .facts
+        .parameters
         .classes
         .iter()
         .enumerate()
         .map(|(n, c)| served(&c.name, errands.iter().filter(|e| e.class == n)))
         .collect();
     let tenants: Vec<Served> = table
-        .facts
+        .parameters
         .tenants
         .iter()
         .enumerate()
@@ -168,12 +168,12 @@
     for m in &table.messages {
         let Some(class) = table.class(m) else { continue };
         let at = *by_origin.entry(m.origin.as_str()).or_insert_with(|| {
-            let quota = table.facts.tenants.get(m.tenant).map_or(f64::MAX, |t| t.quota);
+            let quota = table.parameters.tenants.get(m.tenant).map_or(f64::MAX, |t| t.quota);
             let (left, since) = shares.get(&m.tenant).copied().unwrap_or((quota, m.offered));
             let left = (left + quota * (m.offered - since) as f64 / 1e6).min(quota.max(1.0));
             let within = left >= 1.0;
             shares.insert(m.tenant, (if within { left - 1.0 } else { left }, m.offered));
-            let asked = class.worth * if within { 1.0 } else { table.facts.over_share_worth };
+            let asked = class.worth * if within { 1.0 } else { table.parameters.over_share_worth };
             let (at, end, worth) = (m.offered, End::Failed, 0.0);
             errands.push(Errand { at, class: m.class, tenant: m.tenant, within, asked, worth, end });
             errands.len() - 1
@@ -227,7 +227,7 @@
     });
     let zone = |endpoint: &str| table.endpoints.get(endpoint).map(|e| e.1.as_str());
     let crossing = calls().filter(|c| {
-        let own = table.facts.senders.get(c.sender).map(|s| s.zone.as_str());
+        let own = table.parameters.senders.get(c.sender).map(|s| s.zone.as_str());
         zone(&c.endpoint) != own
     });
     let crossing: usize = crossing.map(|c| c.ids.len()).sum();
--- a/crates/rehearsal/src/judge/table.rs
+++ b/crates/rehearsal/src/judge/table.rs
@@ -1,7 +1,7 @@
 //! A history, put together by message, call and sender.
 
-use crate::facts::{Class, Effect, Facts, Receiver};
 use crate::history::{Answered, By, Ended, Event, Record, Signal, Standing};
+use crate::parameters::{Class, Effect, Parameters, Receiver};
 use crate::span::Micros;
 use embershore_protocol::call::state as batch_state;
 use heronroute::Outcome;
@@ -159,7 +159,7 @@
 #[derive(Clone, Debug)]
 pub struct Table {
     /// What the run was.
-    pub facts: Facts,
+    pub parameters: Parameters,
     /// Endpoints: their receiver and building.
     pub endpoints: HashMap<String, (i64, String)>,
     /// Messages in the order in which they were handed in.
@@ -232,13 +232,13 @@
             }
             at += same;
         }
-        let facts = order.iter().find_map(|o| match o.3 {
-            Event::Run { facts, .. } => Some((**facts).clone()),
+        let parameters = order.iter().find_map(|o| match o.3 {
+            Event::Run { parameters, .. } => Some((**parameters).clone()),
             _ => None,
         })?;
         let mut table = Table {
-            absences: vec![Vec::new(); facts.senders.len()],
-            facts,
+            absences: vec![Vec::new(); parameters.senders.len()],
+            parameters,
             endpoints: HashMap::new(),
             messages: Vec::new(),
             by_id: HashMap::new(),
@@ -434,7 +434,7 @@
 
     /// The class of a message; nothing for an index that the run does not have.
     pub fn class(&self, message: &Message) -> Option<&Class> {
-        self.facts.classes.get(message.class)
+        self.parameters.classes.get(message.class)
     }
 
     /// Whether a repeat of the message takes effect again.
@@ -444,7 +444,7 @@
 
     /// The receiver with this number.
     pub fn receiver(&self, number: i64) -> Option<&Receiver> {
-        self.facts.receivers.iter().find(|r| r.number == number)
+        self.parameters.receivers.iter().find(|r| r.number == number)
     }
 
     /// The attempts of a message: call, when its outcome was known, and what it was.
--- a/crates/rehearsal/src/judge/twice.rs
+++ b/crates/rehearsal/src/judge/twice.rs
@@ -1,8 +1,8 @@
 //! Rule 2: no effect happens twice. Judged by what was sent and by what the receivers' ledger counted.
 
 use super::{ALLOWANCE, Attempt, Findings, Margin, Message, Table};
-use crate::facts::Effect;
 use crate::history::{Answered, Ended};
+use crate::parameters::Effect;
 use crate::span::Micros;
 use std::collections::BTreeMap;
 
@@ -28,7 +28,7 @@
         let endpoint = Some(call.endpoint.as_str());
         // A sender may send as soon as it has given a call up, and the receiver may see the two in either order.
         let out = ends.iter().any(|ended| ended.is_none_or(|t| t > call.t + ALLOWANCE));
-        if out && !table.facts.rules.second_copies {
+        if out && !table.parameters.rules.second_copies {
             let what = "it was sent while an earlier attempt was still out".to_string();
             found.offence(call.t, Some(&m.id), endpoint, what);
         }
@@ -61,8 +61,8 @@
             }
             _ => {}
         }
-        if n as u32 == table.facts.rules.max_attempts {
-            let what = format!("attempt {} of {} at most", n + 1, table.facts.rules.max_attempts);
+        if n as u32 == table.parameters.rules.max_attempts {
+            let what = format!("attempt {} of {} at most", n + 1, table.parameters.rules.max_attempts);
             found.offence(call.t, Some(&m.id), endpoint, what);
         }
         if fate != Attempt::NeverRan {
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -13,11 +13,11 @@
 
 pub mod capture;
 pub mod event;
-pub mod facts;
 pub mod history;
 pub mod html;
 pub mod judge;
 pub mod matrix;
+pub mod parameters;
 pub mod plan;
 pub mod report;
 pub mod rig;
--- a/crates/rehearsal/src/facts.rs
+++ b/crates/rehearsal/src/parameters.rs
@@ -1,4 +1,4 @@
-//! What the judge must know of a run besides what happened: it stands in the history's first record.
+//! The parameters of a run: what the judge must know besides what happened. They stand in the history's first record.
 
 use crate::span::Micros;
 use serde::{Deserialize, Serialize};
@@ -124,7 +124,7 @@
 
 /// Everything of a scenario that a verdict depends on.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Facts {
+pub struct Parameters {
     /// The scenario's name.
     pub scenario: String,
     /// The seed of the run.
--- a/crates/rehearsal/src/plan.rs
+++ b/crates/rehearsal/src/plan.rs
@@ -175,7 +175,7 @@
     for (n, traffic) in scenario.traffic.iter().enumerate() {
         // Each piece draws for itself: another beside it changes nothing.
         let rng = ChaCha8Rng::seed_from_u64(
-            scenario.facts.seed ^ (n as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15),
+            scenario.parameters.seed ^ (n as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15),
         );
         piece(scenario, traffic, rng, &mut all)?;
     }
@@ -243,8 +243,8 @@
                 }
                 let unknown =
                     |what, name: &str| PlanError::Unknown { at_ms: line.at_ms, what, name: name.into() };
-                let class = s.facts.classes.iter().position(|c| c.name == line.class);
-                let tenant = s.facts.tenants.iter().position(|t| t.name == line.tenant);
+                let class = s.parameters.classes.iter().position(|c| c.name == line.class);
+                let tenant = s.parameters.tenants.iter().position(|t| t.name == line.tenant);
                 let receiver = s.receivers.iter().position(|r| r.number == line.receiver);
                 let class = class.ok_or_else(|| unknown("class", &line.class))?;
                 let tenant = tenant.ok_or_else(|| unknown("tenant", &line.tenant))?;
--- a/crates/rehearsal/src/report.rs
+++ b/crates/rehearsal/src/report.rs
@@ -131,12 +131,17 @@
         let table = &table;
         of_class.filter_map(move |m| Some(table.delivered(m)? - first[m.origin.as_str()]))
     };
-    let mut latencies: Vec<Latency> =
-        table.facts.classes.iter().enumerate().map(|(n, c)| Latency::of(&c.name, took(Some(n)))).collect();
+    let mut latencies: Vec<Latency> = table
+        .parameters
+        .classes
+        .iter()
+        .enumerate()
+        .map(|(n, c)| Latency::of(&c.name, took(Some(n))))
+        .collect();
     latencies.push(Latency::of("all", took(None)));
     let report = Report {
-        scenario: table.facts.scenario.clone(),
-        seed: table.facts.seed,
+        scenario: table.parameters.scenario.clone(),
+        seed: table.parameters.seed,
         seconds: table.end as f64 / 1e6,
         judgement,
         latencies,
@@ -148,7 +153,7 @@
 
 fn receivers(table: &Table) -> Vec<ReceiverFigures> {
     let mut figures: BTreeMap<i64, ReceiverFigures> = BTreeMap::new();
-    for r in &table.facts.receivers {
+    for r in &table.parameters.receivers {
         let fell = table.fell.iter().any(|(_, n)| *n == r.number);
         figures.insert(
             r.number,
--- a/crates/rehearsal/src/rig/clients.rs
+++ b/crates/rehearsal/src/rig/clients.rs
@@ -3,8 +3,8 @@
 
 use super::World;
 use super::senders::Senders;
-use crate::facts::Effect;
 use crate::history::{Answered, Event};
+use crate::parameters::Effect;
 use crate::plan::Planned;
 use crate::span::{Micros, duration};
 use bytes::{Bytes, BytesMut};
@@ -103,13 +103,13 @@
             if due > self.world.now() {
                 tokio::time::sleep_until(self.world.recorder.instant(due)).await;
             }
-            let deadline = due + self.world.scenario.facts.classes[planned.class].deadline;
+            let deadline = due + self.world.scenario.parameters.classes[planned.class].deadline;
             let origin = format!("m{number:07}");
             self.world.busy.set(self.world.busy.get() + 1);
             let errand = Errand { planned, due, origin, again: 0, refusals: 0, deadline };
             tokio::task::spawn_local(self.clone().hand_in(errand));
         }
-        let end = zero + self.world.scenario.facts.length;
+        let end = zero + self.world.scenario.parameters.length;
         tokio::time::sleep_until(self.world.recorder.instant(end)).await;
     }
 
@@ -154,10 +154,10 @@
         } else {
             format!("{}-{}", errand.origin, errand.again)
         };
-        let facts = &self.world.scenario.facts;
+        let parameters = &self.world.scenario.parameters;
         let planned = Planned { sender: self.senders.front(errand.planned.sender), ..errand.planned };
-        let (class, tenant) = (&facts.classes[planned.class], &facts.tenants[planned.tenant]);
-        let receiver = facts.receivers[planned.receiver].number;
+        let (class, tenant) = (&parameters.classes[planned.class], &parameters.tenants[planned.tenant]);
+        let receiver = parameters.receivers[planned.receiver].number;
         let now = self.world.now();
         let left = (errand.deadline - now) / 1000;
         if left <= 0 {
--- a/crates/rehearsal/src/rig/control.rs
+++ b/crates/rehearsal/src/rig/control.rs
@@ -64,9 +64,9 @@
         ));
     }
     let event = RawEvent::from_line(line)?;
-    let facts = &rig.world.scenario.facts;
-    let receivers: Vec<i64> = facts.receivers.iter().map(|r| r.number).collect();
-    let senders: Vec<String> = facts.senders.iter().map(|s| s.name.clone()).collect();
+    let parameters = &rig.world.scenario.parameters;
+    let receivers: Vec<i64> = parameters.receivers.iter().map(|r| r.number).collect();
+    let senders: Vec<String> = parameters.senders.iter().map(|s| s.name.clone()).collect();
     let mut wrong = event.wrong(Known { receivers: &receivers, senders: &senders });
     if event.at.is_some() {
         wrong.push("'at' belongs on the timeline; by word it is now".into());
--- a/crates/rehearsal/src/rig/directory.rs
+++ b/crates/rehearsal/src/rig/directory.rs
@@ -141,7 +141,7 @@
     }
 
     fn named(&self, event: &RawEvent) -> Vec<Rc<Agent>> {
-        let names = &self.world.scenario.facts.senders;
+        let names = &self.world.scenario.parameters.senders;
         let fits = |a: &&Rc<Agent>| event.concerns(a.sender, &names[a.sender].name);
         self.agents.iter().filter(fits).cloned().collect()
     }
--- a/crates/rehearsal/src/rig/mod.rs
+++ b/crates/rehearsal/src/rig/mod.rs
@@ -199,8 +199,8 @@
         returned,
         busy: Cell::new(0),
     });
-    let facts = Box::new(world.scenario.facts.clone());
-    world.note(Event::Run { format: FORMAT, facts });
+    let parameters = Box::new(world.scenario.parameters.clone());
+    world.note(Event::Run { format: FORMAT, parameters });
     let directory = Directory::start(world.clone()).await.map_err(RigError::io("the directory"))?;
     let receivers = Receivers::start(world.clone(), directory.clone());
     receivers.open_all().await.map_err(RigError::io("the receivers"))?;
@@ -215,7 +215,7 @@
 
     // Traffic and timeline count from here.
     let zero = world.now();
-    world.count(|p| p.length = zero + world.scenario.facts.length);
+    world.count(|p| p.length = zero + world.scenario.parameters.length);
     tokio::task::spawn_local(beat(world.clone()));
     tokio::task::spawn_local(show(world.clone(), watch));
     if let Some((after, span)) = options.stall {
@@ -229,7 +229,7 @@
     tokio::task::spawn_local(clients.clone().come_again(refusals));
     if options.serve_only {
         tokio::select! {
-            _ = tokio::time::sleep(duration(world.scenario.facts.length)) => {}
+            _ = tokio::time::sleep(duration(world.scenario.parameters.length)) => {}
             _ = tokio::signal::ctrl_c() => {}
         }
     } else {
@@ -244,9 +244,9 @@
 
 /// Waits until nothing is owed any more, or all that may be has run out of time.
 async fn settle(world: &World, zero: Micros) {
-    let longest = world.scenario.facts.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
+    let longest = world.scenario.parameters.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
     // Clients that come again do so for a while yet.
-    let latest = zero + world.scenario.facts.length + 2 * longest + TAIL;
+    let latest = zero + world.scenario.parameters.length + 2 * longest + TAIL;
     loop {
         let idle = world.busy.get() == 0 && world.open.borrow().is_empty();
         if idle || world.now() > latest {
--- a/crates/rehearsal/src/rig/receivers/endpoint.rs
+++ b/crates/rehearsal/src/rig/receivers/endpoint.rs
@@ -60,7 +60,7 @@
         // what the scenario says.
         let part = receiver.spec.capacity / receiver.spec.endpoints.max(1) as f64;
         let workers = (part * receiver.spec.latency.mean()).ceil().max(1.0) as usize;
-        let seed = scenario.facts.seed ^ ((receiver.spec.number as u64) << 20) ^ u64::from(born);
+        let seed = scenario.parameters.seed ^ ((receiver.spec.number as u64) << 20) ^ u64::from(born);
         let zone = (receiver.index + born as usize) % scenario.network.zones.len();
         let endpoint = Rc::new_cyclic(|me: &std::rc::Weak<Endpoint>| {
             let listen = |(sender, listener): (usize, TcpListener)| {
--- a/crates/rehearsal/src/rig/receivers/load.rs
+++ b/crates/rehearsal/src/rig/receivers/load.rs
@@ -46,20 +46,20 @@
         let mut lanes = self.lanes.borrow_mut();
         let lane = lanes.entry(key.clone()).or_default();
         let Some(back) = lane.back.filter(|_| !lane.fell) else { return };
-        let facts = &world.scenario.facts;
-        let figures = &facts.receivers[self.index];
+        let parameters = &world.scenario.parameters;
+        let figures = &parameters.receivers[self.index];
         if t - back > figures.warm_up {
             lane.back = None;
             lane.load.clear();
             return;
         }
         lane.load.push_back((t, weight));
-        while lane.load.front().is_some_and(|(at, _)| *at <= t - facts.rules.fall_window) {
+        while lane.load.front().is_some_and(|(at, _)| *at <= t - parameters.rules.fall_window) {
             lane.load.pop_front();
         }
         let sent: f64 = lane.load.iter().map(|l| l.1).sum();
         let part = if key.is_some() { 1.0 / self.endpoints.borrow().len().max(1) as f64 } else { 1.0 };
-        if sent > facts.rules.fall_beyond(figures.capacity_after(t - back) * part) {
+        if sent > parameters.rules.fall_beyond(figures.capacity_after(t - back) * part) {
             lane.fell = true;
             world.note(Event::Fell { receiver: self.spec.number, endpoint: key });
         }
@@ -69,7 +69,7 @@
     pub(super) fn chill(&self, world: &World, endpoint: &Endpoint, t: Micros) -> f64 {
         let lanes = self.lanes.borrow();
         let Some(back) = lanes.get(&self.lane(endpoint)).and_then(|l| l.back) else { return 1.0 };
-        let figures = &world.scenario.facts.receivers[self.index];
+        let figures = &world.scenario.parameters.receivers[self.index];
         figures.capacity / figures.capacity_after(t - back).max(figures.capacity / 1000.0)
     }
 
--- a/crates/rehearsal/src/rig/receivers/mod.rs
+++ b/crates/rehearsal/src/rig/receivers/mod.rs
@@ -48,7 +48,7 @@
             Rc::new(Receiver {
                 spec: spec.clone(),
                 index,
-                apart: world.scenario.facts.receivers[index].apart,
+                apart: world.scenario.parameters.receivers[index].apart,
                 endpoints: RefCell::default(),
                 lanes: RefCell::default(),
                 keys: RefCell::default(),
@@ -82,7 +82,7 @@
             kind: scenario.kinds[receiver.spec.kind].name.clone(),
             group: receiver.spec.number,
             status: status.into(),
-            weight: Some(scenario.facts.receivers[receiver.index].rate),
+            weight: Some(scenario.parameters.receivers[receiver.index].rate),
         };
         Change { line, addrs: endpoint.addrs.clone() }
     }
--- a/crates/rehearsal/src/rig/receivers/request.rs
+++ b/crates/rehearsal/src/rig/receivers/request.rs
@@ -209,7 +209,7 @@
         if batch && messages > world.scenario.kinds[receiver.spec.kind].batch as usize {
             return Some(Refusal::Status(413, None));
         }
-        receiver.arrive(world, endpoint, t, world.scenario.facts.rules.weight(messages));
+        receiver.arrive(world, endpoint, t, world.scenario.parameters.rules.weight(messages));
         if receiver.resets(endpoint) {
             return Some(Refusal::Reset);
         }
@@ -258,7 +258,7 @@
     let slow = endpoint.fault(Deed::Slow).map_or(1.0, |f| f.factor);
     let chill = receiver.chill(world, endpoint, world.now());
     let late = endpoint.fault(Deed::Late).map_or(0, |f| f.by);
-    let weight = world.scenario.facts.rules.weight(items.len());
+    let weight = world.scenario.parameters.rules.weight(items.len());
     let took = (seconds * weight * slow * chill * 1e6) as Micros;
     tokio::time::sleep(duration(took.saturating_add(late))).await;
     for (id, fate) in items {
--- a/crates/rehearsal/src/rig/senders.rs
+++ b/crates/rehearsal/src/rig/senders.rs
@@ -5,8 +5,8 @@
 use super::door;
 use super::{Options, RigError, Subject, World, folder_of};
 use crate::event::{Deed, RawEvent};
-use crate::facts::Effect;
 use crate::history::{Event, Signal};
+use crate::parameters::Effect;
 use crate::span::{Micros, duration};
 use nix::sys::signal as unix;
 use nix::unistd::Pid;
@@ -89,7 +89,7 @@
         let holds = has(Deed::Upgrade);
         let doors = holds || has(Deed::LameDuck);
         let mut all = Vec::new();
-        for (index, sender) in world.scenario.facts.senders.iter().enumerate() {
+        for (index, sender) in world.scenario.parameters.senders.iter().enumerate() {
             let folder = folder_of(options, &sender.name);
             let io = |e| RigError::io(folder.display().to_string())(e);
             std::fs::create_dir_all(folder.join("state")).map_err(io)?;
@@ -451,10 +451,10 @@
     let scenario = &world.scenario;
     let sender = &scenario.senders[index];
     json!({
-        "name": scenario.facts.senders[index].name,
+        "name": scenario.parameters.senders[index].name,
         "listen": addr.to_string(),
         "discovery": directory.addr(index).to_string(),
-        "seed": format!("{:016x}", scenario.facts.seed ^ (index as u64 + 1)),
+        "seed": format!("{:016x}", scenario.parameters.seed ^ (index as u64 + 1)),
         "limits": {"cores": 1.0, "memory_mb": sender.memory_mb, "sockets": sender.sockets, "disk_mb": sender.disk_mb},
         "known": directory.listing(index),
         "settings": settings(world, index),
@@ -463,8 +463,8 @@
 
 fn settings(world: &World, index: usize) -> Value {
     let scenario = &world.scenario;
-    let facts = &scenario.facts;
-    let profiles = facts.classes.iter().map(|c| {
+    let parameters = &scenario.parameters;
+    let profiles = parameters.classes.iter().map(|c| {
         let effect = match c.effect {
             Effect::Safe => "free",
             Effect::Keyed => "guarded",
@@ -476,36 +476,36 @@
         })
     });
     let quota = |q: f64| if q < 1e12 { q } else { 1e12 };
-    let customers = facts.tenants.iter().map(|t| json!({"Name": t.name, "QuotaRps": quota(t.quota)}));
-    let settle = facts.classes.iter().map(|c| c.order_settle).max().unwrap_or(0);
+    let customers = parameters.tenants.iter().map(|t| json!({"Name": t.name, "QuotaRps": quota(t.quota)}));
+    let settle = parameters.classes.iter().map(|c| c.order_settle).max().unwrap_or(0);
     let told = &scenario.settings;
     json!({
         "Azs": scenario.network.zones,
-        "Balancers": scenario.settings.told_senders(facts.senders.len()),
+        "Balancers": scenario.settings.told_senders(parameters.senders.len()),
         "Zone": scenario.senders[index].zone,
         "QuantumUs": told.quantum.0,
         "Customers": customers.collect::<Vec<_>>(),
-        "OverShareWorth": facts.over_share_worth,
+        "OverShareWorth": parameters.over_share_worth,
         "Shapes": scenario.kinds.iter().map(|k| &k.name).collect::<Vec<_>>(),
         "Weights": "nominal",
         "FamilyInfo": {
             "BatchByKind": scenario.kinds.iter().map(|k| k.batch).collect::<Vec<_>>(),
             "KindApart": scenario.kinds.iter().map(|k| k.apart).collect::<Vec<_>>(),
-            "Late": "line", "Workers": facts.senders[index].slots,
+            "Late": "line", "Workers": parameters.senders[index].slots,
         },
         "Limits": {
             "Cancel": told.cancel, "ConnectTimeoutUs": told.connect_timeout.0, "IdleCloseUs": told.idle_close.0,
-            "MaxAttempts": facts.rules.max_attempts, "MaxOpen": facts.senders[index].max_open,
+            "MaxAttempts": parameters.rules.max_attempts, "MaxOpen": parameters.senders[index].max_open,
             "MaxRetryAfterUs": told.max_retry_after.0, "Peers": false, "Probes": told.probes,
-            "SecondCopies": facts.rules.second_copies, "StreamsPerConn": 1,
+            "SecondCopies": parameters.rules.second_copies, "StreamsPerConn": 1,
         },
         "Prices": {"CrossZone": 0.01, "Handshake": 0.04},
         "Profiles": profiles.collect::<Vec<_>>(),
         "Rules": {
-            "DrainGraceUs": facts.rules.drain_grace, "FallMultiple": facts.rules.fall_multiple,
-            "FallUs": facts.rules.fall_window, "OrderSettleUs": settle,
-            "ColdFrom": facts.receivers.iter().map(|r| r.cold_from).fold(1.0, f64::min),
-            "WarmUpUs": facts.receivers.iter().map(|r| r.warm_up).max().unwrap_or(0),
+            "DrainGraceUs": parameters.rules.drain_grace, "FallMultiple": parameters.rules.fall_multiple,
+            "FallUs": parameters.rules.fall_window, "OrderSettleUs": settle,
+            "ColdFrom": parameters.receivers.iter().map(|r| r.cold_from).fold(1.0, f64::min),
+            "WarmUpUs": parameters.receivers.iter().map(|r| r.warm_up).max().unwrap_or(0),
         },
     })
 }
--- a/crates/rehearsal/src/scenario/class.rs
+++ b/crates/rehearsal/src/scenario/class.rs
@@ -3,7 +3,7 @@
 use super::checks::{Checks, not_negative, share};
 use super::defaults;
 use super::file::Raw;
-use crate::facts::{self, Effect};
+use crate::parameters::{self, Effect};
 use crate::span::{Micros, Span};
 use embershore_protocol::resp::BODY_MOST;
 use serde::Deserialize;
@@ -57,7 +57,11 @@
 const ORDER_SETTLE: Micros = 1_000_000;
 
 /// Checks the classes.
-pub(super) fn classes(raw: &Raw, c: &mut Checks<'_>, kinds: &[String]) -> (Vec<Class>, Vec<facts::Class>) {
+pub(super) fn classes(
+    raw: &Raw,
+    c: &mut Checks<'_>,
+    kinds: &[String],
+) -> (Vec<Class>, Vec<parameters::Class>) {
     let list = raw.class.get_ref();
     c.whether(!list.is_empty(), raw.class.span(), "there is no class; add a [[class]]");
     let mut seen = BTreeSet::new();
@@ -125,9 +129,9 @@
         size
     }
 
-    fn figures(&self) -> facts::Class {
+    fn figures(&self) -> parameters::Class {
         let order_settle = if self.ordered { ORDER_SETTLE } else { 0 };
-        facts::Class {
+        parameters::Class {
             name: self.name.get_ref().clone(),
             effect: self.effect,
             window: self.window.as_ref().map_or(0, |w| w.get_ref().0),
--- a/crates/rehearsal/src/scenario/mod.rs
+++ b/crates/rehearsal/src/scenario/mod.rs
@@ -22,7 +22,7 @@
 pub use split::SplitError;
 
 use crate::event::{Known, RawEvent};
-use crate::facts::{self, Facts};
+use crate::parameters::{self, Parameters};
 use crate::plan::Traffic;
 use crate::span::Micros;
 use checks::Checks;
@@ -73,7 +73,7 @@
     /// What it is about, in a line.
     pub about: String,
     /// What a verdict depends on.
-    pub facts: Facts,
+    pub parameters: Parameters,
     /// The buildings.
     pub network: Network,
     /// What senders are told.
@@ -82,15 +82,15 @@
     pub directory: Directory,
     /// How clients behave.
     pub clients: Clients,
-    /// Classes, in the order of the facts'.
+    /// Classes, in the order of `parameters`.
     pub classes: Vec<Class>,
-    /// Each tenant's share of the traffic, in the order of the facts'.
+    /// Each tenant's share of the traffic, in the order of `parameters`.
     pub tenant_shares: Vec<f64>,
     /// Kinds of receiver.
     pub kinds: Vec<Kind>,
-    /// Receivers, in the order of the facts'.
+    /// Receivers, in the order of `parameters`.
     pub receivers: Vec<Receiver>,
-    /// Senders, in the order of the facts'.
+    /// Senders, in the order of `parameters`.
     pub senders: Vec<Sender>,
     /// What is handed in.
     pub traffic: Vec<Traffic>,
@@ -131,25 +131,25 @@
     c.whether(!zones.is_empty(), raw.network.span.clone(), "'zones' names at least one building");
     let clients = clients(&raw.clients, c);
     let kind_names = kinds(&raw, c);
-    let (classes, class_facts) = classes(&raw, c, &kind_names);
+    let (classes, class_parameters) = classes(&raw, c, &kind_names);
     let (tenant_shares, tenants) = tenants(&raw, c);
-    let (receivers, receiver_facts) = receivers(&raw, c, &kind_names);
+    let (receivers, receiver_parameters) = receivers(&raw, c, &kind_names);
     let traffic = traffic(&raw, c, length, folder);
     let rate = traffic.iter().map(|t| t.mean_rate(length)).sum::<f64>();
-    let (senders, sender_facts) = senders(&raw, c, rate, mean_latency(&receivers));
-    let events = events(&raw, c, &receivers, &sender_facts);
+    let (senders, sender_parameters) = senders(&raw, c, rate, mean_latency(&receivers));
+    let events = events(&raw, c, &receivers, &sender_parameters);
     Scenario {
         about: raw.about,
-        facts: Facts {
+        parameters: Parameters {
             scenario: raw.name,
             seed: raw.seed,
             length,
             rules,
             over_share_worth: raw.settings.over_share_worth,
-            classes: class_facts,
+            classes: class_parameters,
             tenants,
-            receivers: receiver_facts,
-            senders: sender_facts,
+            receivers: receiver_parameters,
+            senders: sender_parameters,
         },
         network: raw.network.value,
         settings: raw.settings,
@@ -177,7 +177,7 @@
     raw: &Raw,
     c: &mut Checks<'_>,
     receivers: &[Receiver],
-    senders: &[facts::Sender],
+    senders: &[parameters::Sender],
 ) -> Vec<(Micros, RawEvent)> {
     let numbers: Vec<i64> = receivers.iter().map(|r| r.number).collect();
     let names: Vec<String> = senders.iter().map(|s| s.name.clone()).collect();
--- a/crates/rehearsal/src/scenario/receiver.rs
+++ b/crates/rehearsal/src/scenario/receiver.rs
@@ -3,7 +3,7 @@
 use super::checks::{Checks, positive, share};
 use super::defaults;
 use super::file::Raw;
-use crate::facts::{self, Effect};
+use crate::parameters::{self, Effect};
 use crate::span::{Micros, Span};
 use serde::Deserialize;
 use std::collections::BTreeSet;
@@ -117,10 +117,10 @@
     raw: &Raw,
     c: &mut Checks<'_>,
     kinds: &[String],
-) -> (Vec<Receiver>, Vec<facts::Receiver>) {
+) -> (Vec<Receiver>, Vec<parameters::Receiver>) {
     let list = raw.receiver.get_ref();
     c.whether(!list.is_empty(), raw.receiver.span(), "there is no receiver; add a [[receiver]]");
-    let (mut receivers, mut figures): (Vec<Receiver>, Vec<facts::Receiver>) = (Vec::new(), Vec::new());
+    let (mut receivers, mut figures): (Vec<Receiver>, Vec<parameters::Receiver>) = (Vec::new(), Vec::new());
     let (mut seen, mut endpoints) = (BTreeSet::new(), 0);
     for r in list {
         let kind = c.index(&r.kind, kinds.iter(), "kind");
@@ -218,9 +218,9 @@
         }
     }
 
-    fn figures(&self, number: i64, apart: bool) -> facts::Receiver {
+    fn figures(&self, number: i64, apart: bool) -> parameters::Receiver {
         let capacity = *self.capacity.get_ref();
-        facts::Receiver {
+        parameters::Receiver {
             number,
             kind: self.kind.get_ref().clone(),
             apart,
--- a/crates/rehearsal/src/scenario/rules.rs
+++ b/crates/rehearsal/src/scenario/rules.rs
@@ -2,7 +2,7 @@
 
 use super::checks::{Checks, positive, share};
 use super::file::Section;
-use crate::facts;
+use crate::parameters;
 use crate::span::Span;
 use serde::Deserialize;
 
@@ -32,13 +32,13 @@
 }
 
 /// Checks the figures of the rules.
-pub(super) fn rules(raw: &Section<RawRules>, c: &mut Checks<'_>) -> facts::Rules {
+pub(super) fn rules(raw: &Section<RawRules>, c: &mut Checks<'_>) -> parameters::Rules {
     let (r, at) = (&raw.value, &raw.span);
     c.whether(positive(r.fall_multiple), at.clone(), "'fall_multiple' is above 0");
     c.whether(r.fall_window.0 > 0, at.clone(), "'fall_window' is above 0s");
     c.whether(share(r.batch_weight), at.clone(), "'batch_weight' is from 0 to 1");
     c.whether(r.max_attempts > 0, at.clone(), "'max_attempts' is 1 or more");
-    facts::Rules {
+    parameters::Rules {
         drain_grace: r.drain_grace.0,
         fall_multiple: r.fall_multiple,
         fall_window: r.fall_window.0,
--- a/crates/rehearsal/src/scenario/sender.rs
+++ b/crates/rehearsal/src/scenario/sender.rs
@@ -3,7 +3,7 @@
 use super::checks::{Checks, positive};
 use super::defaults;
 use super::file::Raw;
-use crate::facts;
+use crate::parameters;
 use serde::Deserialize;
 use std::collections::BTreeSet;
 use toml::Spanned;
@@ -65,7 +65,7 @@
     c: &mut Checks<'_>,
     rate: f64,
     busy: f64,
-) -> (Vec<Sender>, Vec<facts::Sender>) {
+) -> (Vec<Sender>, Vec<parameters::Sender>) {
     let list = raw.sender.get_ref();
     let many: usize = list.iter().map(|s| s.count.unwrap_or(1).min(SENDERS_MOST + 1)).sum();
     let fits = (1..=SENDERS_MOST).contains(&many);
@@ -104,7 +104,7 @@
             }
             let (memory_mb, sockets, disk_mb) = (s.memory_mb, s.sockets, s.disk_mb);
             senders.push(Sender { share, zone, memory_mb, sockets, disk_mb });
-            figures.push(facts::Sender { name, zone: zone_name, slots, max_open });
+            figures.push(parameters::Sender { name, zone: zone_name, slots, max_open });
         }
     }
     (senders, figures)
--- a/crates/rehearsal/src/scenario/split.rs
+++ b/crates/rehearsal/src/scenario/split.rs
@@ -1,7 +1,7 @@
 //! The same scenario with another number of senders.
 
 use super::{SENDERS_MOST, Scenario, Sender};
-use crate::facts;
+use crate::parameters;
 
 /// A scenario that can't be played with another number of senders.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
@@ -27,14 +27,14 @@
         if let Some(name) = self.events.iter().find_map(|(_, e)| e.sender.clone()) {
             return Err(SplitError::Named(name));
         }
-        let slots: u32 = self.facts.senders.iter().map(|s| s.slots).sum();
-        let room: u32 = self.facts.senders.iter().map(|s| s.max_open).sum();
+        let slots: u32 = self.parameters.senders.iter().map(|s| s.slots).sum();
+        let room: u32 = self.parameters.senders.iter().map(|s| s.max_open).sum();
         let like = self.senders[0].clone();
         let part = |all: u32, least: u32| ((f64::from(all) / senders as f64).round() as u32).max(least);
         let zones = &self.network.zones;
         let zone = |n: usize| n % zones.len().max(1);
-        self.facts.senders = (0..senders)
-            .map(|n| facts::Sender {
+        self.parameters.senders = (0..senders)
+            .map(|n| parameters::Sender {
                 name: format!("n{n}"),
                 zone: zones.get(zone(n)).cloned().unwrap_or_default(),
                 slots: part(slots, 2),
--- a/crates/rehearsal/src/scenario/tenant.rs
+++ b/crates/rehearsal/src/scenario/tenant.rs
@@ -2,7 +2,7 @@
 
 use super::checks::{Checks, not_negative, positive};
 use super::file::Raw;
-use crate::facts;
+use crate::parameters;
 use serde::Deserialize;
 use std::collections::BTreeSet;
 use toml::Spanned;
@@ -17,7 +17,7 @@
 }
 
 /// Checks the tenants, and gives the share of the traffic that each has.
-pub(super) fn tenants(raw: &Raw, c: &mut Checks<'_>) -> (Vec<f64>, Vec<facts::Tenant>) {
+pub(super) fn tenants(raw: &Raw, c: &mut Checks<'_>) -> (Vec<f64>, Vec<parameters::Tenant>) {
     let mut seen = BTreeSet::new();
     for tenant in &raw.tenant {
         let (name, at) = (tenant.name.get_ref(), tenant.name.span());
@@ -27,11 +27,11 @@
     }
     // With none named there is one, which stands for all.
     if raw.tenant.is_empty() {
-        return (vec![1.0], vec![facts::Tenant { name: "all".into(), quota: f64::MAX }]);
+        return (vec![1.0], vec![parameters::Tenant { name: "all".into(), quota: f64::MAX }]);
     }
     let figures = raw.tenant.iter().map(|t| {
         let (name, quota) = (t.name.get_ref().clone(), t.quota.unwrap_or(f64::MAX));
-        facts::Tenant { name, quota }
+        parameters::Tenant { name, quota }
     });
     (raw.tenant.iter().map(|t| t.share).collect(), figures.collect())
 }
--- a/crates/rehearsal/tests/common/mod.rs
+++ b/crates/rehearsal/tests/common/mod.rs
@@ -2,9 +2,9 @@
 
 #![allow(dead_code)] // each test file uses a part
 
-use embershore_rehearsal::facts::{Class, Effect, Facts, Receiver, Rules, Sender, Tenant};
 use embershore_rehearsal::history::{Answered, By, Ended, Event, FORMAT, Item, Record, Signal, Standing};
 use embershore_rehearsal::judge::{Judgement, Rule, Verdict, judge};
+use embershore_rehearsal::parameters::{Class, Effect, Parameters, Receiver, Rules, Sender, Tenant};
 
 pub const KEYED: usize = 0;
 pub const SAFE: usize = 1;
@@ -14,7 +14,7 @@
 /// Two senders; classes `push` (keyed for 3 s), `sync` (safe), `pay` (unsafe) and `log` (safe, in order, settling for
 /// 1 s), each with 10 s; receivers 1 and 2 for 10 messages a second with endpoints `e1`, `e2` and `e3`, and receiver
 /// 3, whose routes `f1` and `f2` are apart.
-pub fn facts() -> Facts {
+pub fn parameters() -> Parameters {
     let class = |name: &str, effect, window, ordered| Class {
         name: name.into(),
         effect,
@@ -36,7 +36,7 @@
         warm_up: 10_000_000,
     };
     let sender = |name: &str| Sender { name: name.into(), zone: "a".into(), slots: 10, max_open: 100 };
-    Facts {
+    Parameters {
         scenario: "by hand".into(),
         seed: 1,
         length: 10_000_000,
@@ -71,7 +71,7 @@
 impl History {
     pub fn new() -> Self {
         let mut h = History { records: Vec::new(), calls: 0 };
-        h.at(0, Event::Run { format: FORMAT, facts: Box::new(facts()) });
+        h.at(0, Event::Run { format: FORMAT, parameters: Box::new(parameters()) });
         for (endpoint, receiver) in [("e1", 1), ("e2", 1), ("e3", 2), ("f1", 3), ("f2", 3)] {
             h.at(0, Event::Endpoint { endpoint: endpoint.into(), receiver, zone: "a".into() });
         }
--- a/crates/rehearsal/tests/judge.rs
+++ b/crates/rehearsal/tests/judge.rs
@@ -543,8 +543,8 @@
 #[test]
 fn traffic_beyond_a_share_is_worth_little() {
     let mut h = History::new();
-    if let Event::Run { facts, .. } = &mut h.records[0].event {
-        facts.tenants[0].quota = 2.0;
+    if let Event::Run { parameters, .. } = &mut h.records[0].event {
+        parameters.tenants[0].quota = 2.0;
     }
     for n in 0..4 {
         h.taken(n, 0, &format!("m{n}"), SAFE).sent(n + 10, 0, "e1", &format!("m{n}"), 200);
@@ -681,3 +681,10 @@
     restarted(2_100).keeps(Rule::WaitsHeeded);
     restarted(3_100).keeps(Rule::WaitsHeeded);
 }
+
+#[test]
+fn the_first_record_has_the_field_names_of_older_histories() {
+    let first = serde_json::to_value(&History::new().records[0]).unwrap();
+    assert_eq!(first["ev"], "run");
+    assert_eq!(first["facts"]["scenario"], "by hand");
+}
--- a/crates/rehearsal/tests/properties.rs
+++ b/crates/rehearsal/tests/properties.rs
@@ -2,9 +2,9 @@
 
 mod common;
 use common::*;
-use embershore_rehearsal::facts::Receiver;
 use embershore_rehearsal::history::{Answered, By, Ended, Event, Record, Standing};
 use embershore_rehearsal::judge::judge;
+use embershore_rehearsal::parameters::Receiver;
 use proptest::prelude::*;
 
 /// One thing that happens to a message, so many milliseconds after the one before.
@@ -104,10 +104,10 @@
     ) {
         let h = history(&steps);
         let mut other = h.clone();
-        if let Event::Run { facts, .. } = &mut other.records[0].event {
+        if let Event::Run { parameters, .. } = &mut other.records[0].event {
             let (kind, apart) = ("hook".to_string(), number % 2 == 0);
             let (rate, cold_from, warm_up) = (capacity, 0.2, 5_000_000);
-            facts.receivers.insert(0, Receiver { number, kind, apart, capacity, rate, cold_from, warm_up });
+            parameters.receivers.insert(0, Receiver { number, kind, apart, capacity, rate, cold_from, warm_up });
         }
         other.at(0, Event::Endpoint { endpoint: "x1".into(), receiver: number, zone: "b".into() });
         other.at(20, Event::Down { receiver: number, endpoint: None });
--- a/crates/rehearsal/tests/scenario.rs
+++ b/crates/rehearsal/tests/scenario.rs
@@ -113,7 +113,7 @@
 fn a_plan_is_a_function_of_file_and_seed() {
     let of = |text: &str, seed: u64| {
         let mut scenario = parse(text).unwrap();
-        scenario.facts.seed = seed;
+        scenario.parameters.seed = seed;
         plan(&scenario).unwrap()
     };
     assert_eq!(of(GOOD, 1), of(GOOD, 1));
@@ -187,7 +187,7 @@
     assert!(shipped::ALL.len() >= 8);
     for s in shipped::ALL {
         let scenario = Scenario::parse(s.name, s.text, Path::new(".")).unwrap_or_else(|e| panic!("{e}"));
-        assert_eq!(scenario.facts.scenario, s.name);
+        assert_eq!(scenario.parameters.scenario, s.name);
         assert!(!scenario.about.is_empty() && plan(&scenario).unwrap().len() > 100);
     }
     // All of the folder ships.
@@ -219,7 +219,7 @@
 #[test]
 fn senders_alike_are_numbered_and_stand_in_all_buildings() {
     let scenario = parse(&GOOD.replace("name = \"n0\"", "name = \"n\"\ncount = 3\nslots = 10")).unwrap();
-    let senders = &scenario.facts.senders;
+    let senders = &scenario.parameters.senders;
     let names: Vec<(&str, &str)> = senders.iter().map(|s| (s.name.as_str(), s.zone.as_str())).collect();
     assert_eq!(names, [("n0", "a"), ("n1", "b"), ("n2", "a")]);
     assert!(scenario.senders.iter().all(|s| (s.share - 1.0 / 3.0).abs() < 1e-9));
@@ -234,8 +234,8 @@
     let text = GOOD.replace("name = \"n0\"", "name = \"n\"\ncount = 4\nslots = 30\nmax_open = 120");
     let mut scenario = parse(&text).unwrap();
     scenario.split(12).unwrap();
-    assert_eq!((scenario.senders.len(), scenario.facts.senders.len()), (12, 12));
-    assert!(scenario.facts.senders.iter().all(|s| (s.slots, s.max_open) == (10, 40)));
+    assert_eq!((scenario.senders.len(), scenario.parameters.senders.len()), (12, 12));
+    assert!(scenario.parameters.senders.iter().all(|s| (s.slots, s.max_open) == (10, 40)));
     let planned = plan(&scenario).unwrap();
     assert_eq!(planned.len(), plan(&parse(&text).unwrap()).unwrap().len());
     assert!((0..12).all(|n| planned.iter().any(|m| m.sender == n)), "each has its part");
--- a/crates/sender/src/matrix.rs
+++ b/crates/sender/src/matrix.rs
@@ -74,7 +74,7 @@
             // All are checked before the first is played.
             scenario.clone().split(*senders).map_err(|e| format!("{name}: {e}"))?;
             let of = |seed: &u64| Cell {
-                scenario: scenario.facts.scenario.clone(),
+                scenario: scenario.parameters.scenario.clone(),
                 senders: *senders,
                 seed: *seed,
             };
--- a/crates/sender/src/rehearse.rs
+++ b/crates/sender/src/rehearse.rs
@@ -207,7 +207,7 @@
 fn play(name: &str, how: &Play, senders: Vec<SocketAddr>, serve_only: bool) -> Result<u8, Box<dyn Error>> {
     let mut scenario = read(name)?;
     if let Some(seed) = how.seed {
-        scenario.facts.seed = seed;
+        scenario.parameters.seed = seed;
     }
     if let Some(number) = how.senders {
         scenario.split(number).map_err(|e| format!("--senders {number}: {e}"))?;
@@ -221,7 +221,7 @@
         Some(folder) => folder.clone(),
         None => {
             let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs();
-            let name = format!("rehearsal-{}-{now}-{}", scenario.facts.scenario, std::process::id());
+            let name = format!("rehearsal-{}-{now}-{}", scenario.parameters.scenario, std::process::id());
             std::env::temp_dir().join(name)
         }
     };
@@ -233,7 +233,7 @@
     let (control, stall) = (how.control, None);
     let options = Options { subject, folder: folder.clone(), control, serve_only, stall };
     if !how.quiet {
-        eprintln!("rehearsing {}: {}", scenario.facts.scenario, scenario.about);
+        eprintln!("rehearsing {}: {}", scenario.parameters.scenario, scenario.about);
         eprintln!("evidence in {}", folder.display());
     }
     rig::run(scenario, &options, progress(how.quiet))?;
@@ -302,7 +302,7 @@
 fn check(name: &str, json: bool) -> Result<u8, Box<dyn Error>> {
     let scenario = read(name)?;
     let planned = plan::plan(&scenario)?;
-    let f = &scenario.facts;
+    let f = &scenario.parameters;
     let endpoints: usize = scenario.receivers.iter().map(|r| r.endpoints).sum();
     let rate = planned.len() as f64 / (f.length as f64 / 1e6);
     if json {
@@ -336,7 +336,7 @@
     let mut all = Vec::new();
     for s in shipped::ALL {
         let scenario = Scenario::parse(s.name, s.text, Path::new("."))?;
-        all.push((s.name, scenario.facts.length as f64 / 1e6, scenario.about));
+        all.push((s.name, scenario.parameters.length as f64 / 1e6, scenario.about));
     }
     if json {
         let all = all.iter().map(
