--- a/crates/placement/src/preference.rs
+++ b/crates/placement/src/preference.rs
@@ -1,5 +1,7 @@
 //! Which of a shard's owners a request prefers: rendezvous hashing (Thaler and Ravishankar, 1998) over the owners.
 //!
+//! All senders must agree on it, whatever their versions: it is part of the scheme ([`crate::SCHEME`]) and pinned by a test.
+//!
 //! An ordered request hashes its order key, any other its id. The preference depends on the set of owners alone, not on their
 //! order in the table, and each request has its own order of fallbacks: what a lost owner leaves is spread over all others,
 //! and a key whose preferred owner stays changes it only for an owner that is new.
@@ -24,6 +26,16 @@
         self.order_key.is_some()
     }
 
+    /// The part that the request belongs to, of a destination with this width.
+    pub fn part(&self, width: u16) -> u16 {
+        part(self.spread(), width)
+    }
+
+    /// The owner that the request prefers; none without owners.
+    pub fn preferred(&self, owners: &[SeatId]) -> Option<SeatId> {
+        preferred(owners, self.spread())
+    }
+
     /// The hash by which requests to one destination are spread over its parts and owners.
     pub(crate) fn spread(&self) -> u64 {
         const SPREAD: u64 = 0x7370_7265_6164;
--- a/crates/placement/tests/ownership.rs
+++ b/crates/placement/tests/ownership.rs
@@ -513,3 +513,15 @@
     let dest = dest_where(&after, |owners| owners.contains(&SeatId(6)));
     assert_eq!(ownership.takes(SECOND, dest), Takes::OnHold(SECOND + HOLD));
 }
+
+/// Senders of all versions that know scheme 1 agree on these; another result is a new scheme number.
+#[test]
+fn preferences_are_pinned_to_the_scheme() {
+    let owners: Vec<SeatId> = [3, 141, 5_926, 53_589].map(SeatId).to_vec();
+    let preferred = |key: &str| ordered(7, key).preferred(&owners).unwrap().0;
+    let part = |key: &str| ordered(7, key).part(1_024);
+    let keys = ["", "a", "order-1", "order-2", "a key of more than sixteen bytes"];
+    assert_eq!(keys.map(preferred), [5_926, 141, 53_589, 3, 3]);
+    assert_eq!(keys.map(part), [566, 915, 970, 392, 99]);
+    assert_eq!(request(7, "order-1").part(1_024), part("order-1"));
+}
