One error for files that can't be used, for scenarios and options alike

Cause: ScenarioError and OptionsError were the same enumeration, written twice. Change: both are embershore_finding::FileError, under the names that they had.

--- a/crates/finding/src/lib.rs
+++ b/crates/finding/src/lib.rs
@@ -6,7 +6,7 @@
 use std::fmt;
 use std::io;
 use std::ops::Range;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
 /// Something wrong in a file.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
@@ -70,6 +70,27 @@
     }
 }
 
+/// A file that can't be used. Nothing of it has taken effect.
+#[derive(Debug, thiserror::Error)]
+pub enum FileError {
+    /// It can't be read.
+    #[error("{}: {error}", path.display())]
+    Io {
+        /// Which file.
+        path: PathBuf,
+        /// Why.
+        error: io::Error,
+    },
+    /// What stands in it is wrong.
+    #[error("{}", Findings { name, findings })]
+    Wrong {
+        /// The file's name.
+        name: String,
+        /// All that was found.
+        findings: Vec<Finding>,
+    },
+}
+
 /// Reads a file of at most so many bytes; a longer one is no such file, and is not read. `what` names its sort.
 ///
 /// # Errors
--- a/crates/options/src/lib.rs
+++ b/crates/options/src/lib.rs
@@ -3,12 +3,12 @@
 //! A file is checked whole before any of it counts: unknown keys are errors, and each finding has its line and column.
 #![warn(missing_docs)]
 
-use embershore_finding::{Finding, Findings, Placed};
+use embershore_finding::{Finding, Placed};
 use embershore_owed::rules::Section;
 use embershore_owed::{ClassFacts, Rules};
 use embershore_peer::options::{FleetOptions, Section as FleetSection};
 use serde::Deserialize;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 
 /// A file is no longer than this: 256 rules of a few hundred bytes, several times over.
 pub const FILE_MOST: u64 = 1 << 20;
@@ -29,26 +29,8 @@
     pub fleet: Option<FleetOptions>,
 }
 
-/// A file that can't be used. Nothing of it has taken effect.
-#[derive(Debug, thiserror::Error)]
-pub enum OptionsError {
-    /// It can't be read.
-    #[error("{}: {error}", path.display())]
-    Io {
-        /// Which file.
-        path: PathBuf,
-        /// Why.
-        error: std::io::Error,
-    },
-    /// What stands in it is wrong.
-    #[error("{}", Findings { name, findings })]
-    Wrong {
-        /// The file's name.
-        name: String,
-        /// All that was found, in the order of the file.
-        findings: Vec<Finding>,
-    },
-}
+/// An options file that can't be used. Nothing of it has taken effect.
+pub use embershore_finding::FileError as OptionsError;
 
 impl Options {
     /// Reads and checks a file against the classes that the daemon's settings know.
--- a/crates/rehearsal/src/scenario/mod.rs
+++ b/crates/rehearsal/src/scenario/mod.rs
@@ -15,6 +15,8 @@
 mod traffic;
 
 pub use class::Class;
+/// A scenario that can't be played; `name` is that of the file, or of a shipped scenario. Nothing has been started.
+pub use embershore_finding::FileError as ScenarioError;
 pub use kind::Kind;
 pub use receiver::{ENDPOINTS_MOST, Latency, Limit, Receiver};
 pub use sender::{SENDERS_MOST, Sender};
@@ -27,14 +29,14 @@
 use crate::span::Micros;
 use checks::Checks;
 use class::classes;
-use embershore_finding::{Finding, Findings};
+use embershore_finding::Finding;
 use file::Raw;
 use kind::kinds;
 use receiver::receivers;
 use rules::rules;
 use sender::senders;
 use settings::clients;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use tenant::tenants;
 use toml::Spanned;
 use traffic::traffic;
@@ -46,27 +48,6 @@
 /// How long a call is taken to take, in seconds, where no receiver has a share of the traffic.
 const MEAN_LATENCY: f64 = 0.15;
 
-/// A scenario that can't be played.
-#[derive(Debug, thiserror::Error)]
-pub enum ScenarioError {
-    /// The file can't be read.
-    #[error("{}: {error}", path.display())]
-    Io {
-        /// Which file.
-        path: PathBuf,
-        /// Why.
-        error: std::io::Error,
-    },
-    /// What stands in it is wrong; nothing has been started.
-    #[error("{}", Findings { name, findings })]
-    Wrong {
-        /// The file, or the shipped scenario's name.
-        name: String,
-        /// All that was found.
-        findings: Vec<Finding>,
-    },
-}
-
 /// A scenario that has been checked.
 #[derive(Clone, Debug)]
 pub struct Scenario {
