--- a/tests/herd.rs
+++ b/tests/herd.rs
@@ -148,6 +148,24 @@
     }
 }
 
+/// Ways in which thirty processes that are restarted 1 s after the return push over a receiver of ten calls a second.
+#[test]
+fn restarted_after_a_shut_that_told_no_wait() {
+    stays_up("a restart", &Return { restart: Some(19 * S), ..small(30, 10.0, Out::ShutUntold) }, 8);
+}
+
+#[test]
+fn restarted_after_a_silent_outage() {
+    stays_up("a restart", &Return { restart: Some(19 * S), ..small(30, 10.0, Out::Silent) }, 8);
+}
+
+#[test]
+fn a_receiver_of_four_calls_a_second_after_a_silent_outage() {
+    for n in [20, 30] {
+        stays_up(&format!("{n} processes"), &small(n, 4.0, Out::Silent), 8);
+    }
+}
+
 fn table(cases: impl IntoIterator<Item = (String, Return)>, seeds: u64) {
     println!(
         "{:<34} {:>6} {:>6} {:>7} {:>7} {:>6} {:>6} {:>6}",
