--- a/crates/placement/src/base.rs
+++ b/crates/placement/src/base.rs
@@ -4,21 +4,13 @@
 //! Consistent hashing with bounded loads, built seat by seat: each seat that is added takes its quota of positions from
 //! seats that hold more than their new target, so that adding a seat moves positions to it and never between others.
 
-use crate::conflicts::{ConflictRows, Domain, Layout, pair_cost};
+use std::cmp::Reverse;
+
+use crate::conflicts::{ConflictRows, Domain, Grade, Layout, NOBODY, ROW, SPARES, pair_cost};
 use crate::hash::{GOLDEN, mix, mix_pair, scale};
-use crate::list::{MAX_REPLICAS, SeatId};
+use crate::list::SeatId;
 use crate::target::{Shares, Units, Weights};
 
-/// Spare seats of a row, which take a lost owner's place. With two, a lost owner's shards stay in distinct zones, and
-/// the shards of a lost zone go to seats that share them out by their quota.
-pub(crate) const SPARES: usize = 2;
-
-/// The longest row. Shorter ones end in [`NOBODY`]: a fixed length lets the compiler unroll what is done most often.
-const ROW: usize = MAX_REPLICAS + SPARES;
-
-/// A position that no seat holds: the region has fewer seats than a row has positions.
-pub(crate) const NOBODY: u16 = u16::MAX;
-
 /// A seat as the base table counts it.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct BaseSeat {
@@ -41,6 +33,8 @@
     AboveTarget,
     /// Seats that would still hold no less than the taker, by weight; domains stay as distinct as they were.
     MoreLoaded,
+    /// Seats that hold more than 15/16 of their target; for rows whose domains become more distinct.
+    NearTarget,
     /// Seats that hold more than 9/8 of their target, even where the row's domains are less distinct afterwards.
     Overloaded,
 }
@@ -54,6 +48,9 @@
 /// Rows that a probe looks at, one after another: at two replicas, those of a cache line.
 const PROBE_ROWS: u32 = 8;
 
+/// A seat takes up to this part more than its quota where a row's owners share a zone otherwise.
+const EXTRA_PART: u32 = 16;
+
 /// A seat gives up on rows whose domains could be more distinct after so many of them in a row that it can't help.
 const CONFLICT_MISSES: u32 = 64;
 
@@ -71,7 +68,8 @@
     loads: [Vec<u32>; 2],
     total: Weights,
     zones: Vec<u16>,
-    conflicts: ConflictRows,
+    /// By [`Grade`].
+    conflicts: [ConflictRows; 2],
     /// Where displaced owners go while rows have positions that nobody holds.
     open_position: Option<usize>,
     touched: Vec<u32>,
@@ -109,9 +107,8 @@
 
 impl BaseTable {
     pub(crate) fn new(rows: u32, replicas: usize) -> Self {
-        let layout = Layout { owners: replicas, positions: replicas + SPARES };
         Self {
-            layout,
+            layout: Layout::new(replicas),
             rows: vec![[NOBODY; ROW]; rows as usize],
             ids: Vec::new(),
             domains: Vec::new(),
@@ -119,7 +116,7 @@
             loads: [Vec::new(), Vec::new()],
             total: Weights::default(),
             zones: Vec::new(),
-            conflicts: ConflictRows::new(rows),
+            conflicts: [ConflictRows::new(rows), ConflictRows::new(rows)],
             open_position: None,
             touched: Vec::new(),
         }
@@ -150,14 +147,14 @@
         self.rows.capacity() * size_of::<[u16; ROW]>()
             + self.ids.capacity() * size_of::<BaseSeat>()
             + self.loads.iter().map(|loads| loads.capacity() * size_of::<u32>()).sum::<usize>()
-            + self.conflicts.bytes()
+            + self.conflicts.iter().map(ConflictRows::bytes).sum::<usize>()
             + self.touched.capacity() * size_of::<u32>()
     }
 
     /// Gives back memory that only building needs.
     pub(crate) fn shrink(&mut self) {
         self.touched = Vec::new();
-        self.conflicts.shrink();
+        self.conflicts.iter_mut().for_each(ConflictRows::shrink);
     }
 
     /// Adds a seat behind the region's last one.
@@ -207,19 +204,30 @@
 
     /// Lists anew which rows' domains could be more distinct.
     fn list_conflicts(&mut self) {
-        self.conflicts.clear(self.layout.least_cost(self.zones.len()));
+        let least_cost = self.layout.least_cost(self.zones.len());
+        for (conflicts, grade) in self.conflicts.iter_mut().zip([Grade::Owners, Grade::Any]) {
+            conflicts.clear(least_cost, grade);
+        }
         for row in 0..self.rows() {
-            let cost = self.cost(row);
-            self.conflicts.note(row, cost);
+            self.note_conflicts(row);
         }
     }
 
     fn take_quota(&mut self, seat: u16, kind: Kind) {
         let mut search = self.search(seat, kind);
-        self.take_from_conflicts(&mut search);
+        let quota = search.lacking;
+        if kind == Kind::Owner {
+            self.take_from_conflicts(&mut search, Grade::Owners, Donors::AboveTarget);
+        }
+        self.take_from_conflicts(&mut search, Grade::Any, Donors::AboveTarget);
         for donors in SEARCHES {
             self.take_by_probing(&mut search, donors);
         }
+        if kind == Kind::Owner {
+            // Quotas are rounded, which can leave a few rows whose owners share a zone.
+            search.lacking += quota.div_ceil(EXTRA_PART);
+            self.take_from_conflicts(&mut search, Grade::Owners, Donors::NearTarget);
+        }
     }
 
     fn search(&self, seat: u16, kind: Kind) -> Search {
@@ -245,32 +253,42 @@
     }
 
     /// Takes positions where the row's domains are more distinct afterwards.
-    fn take_from_conflicts(&mut self, search: &mut Search) {
+    fn take_from_conflicts(&mut self, search: &mut Search, grade: Grade, donors: Donors) {
         let mut misses = 0;
-        while search.lacking > 0 && misses < CONFLICT_MISSES && !self.conflicts.is_empty() {
-            let index = scale(search.probe() as u32, self.conflicts.len());
-            let row = self.conflicts.row(index);
-            if self.conflicts.settle(index, self.cost(row)) {
+        while search.lacking > 0 && misses < CONFLICT_MISSES && !self.conflicts[grade as usize].is_empty() {
+            let index = scale(search.probe() as u32, self.conflicts[grade as usize].len());
+            let row = self.conflicts[grade as usize].row(index);
+            let cost = self.cost(row);
+            if self.conflicts[grade as usize].settle(index, cost) {
                 continue;
             }
             misses += 1;
-            if let Some(position) = self.best_improvement(row, search) {
+            if let Some(position) = self.best_improvement(row, grade, donors, search) {
                 self.place(row, position, search);
                 misses = 0;
             }
         }
     }
 
+    /// Lists a row if its domains could be more distinct.
+    fn note_conflicts(&mut self, row: u32) {
+        let cost = self.cost(row);
+        for conflicts in &mut self.conflicts {
+            conflicts.note(row, cost);
+        }
+    }
+
     /// The position of a row whose taking makes its domains most distinct.
-    fn best_improvement(&self, row: u32, search: &Search) -> Option<usize> {
-        let candidates = self
-            .layout
-            .range(search.kind)
-            .filter(|&position| self.gives(self.holder(row, position), Donors::AboveTarget, search));
-        let costs = candidates.filter_map(|position| {
-            Some((self.cost_change(&self.rows[row as usize], position, search.seat)?, position))
-        });
-        costs.filter(|&(change, _)| change < 0).min().map(|(_, position)| position)
+    fn best_improvement(&self, row: u32, grade: Grade, donors: Donors, search: &Search) -> Option<usize> {
+        let seats = &self.rows[row as usize];
+        let positions =
+            self.layout.range(search.kind).filter(|&position| self.gives(seats[position], donors, search));
+        let load = |position: usize| self.load(seats[position], search.kind);
+        let changes = positions
+            .filter_map(|position| Some((self.cost_change(seats, position, search.seat)?, position)));
+        let (change, position) =
+            changes.min_by_key(|&(change, position)| (change, Reverse(load(position))))?;
+        (change <= -grade.least_gain()).then_some(position)
     }
 
     fn take_by_probing(&mut self, search: &mut Search, donors: Donors) {
@@ -282,7 +300,7 @@
             self.place(found.row, found.position, search);
             misses = 0;
             if found.worse {
-                self.conflicts.note(found.row, self.cost(found.row));
+                self.note_conflicts(found.row);
             }
         }
     }
@@ -305,23 +323,20 @@
         None
     }
 
-    /// How many domains a seat shares with others, zones before racks.
-    pub(crate) fn shared_domains(&self, seat: u16, others: &[u16]) -> u32 {
-        others.iter().map(|&other| pair_cost(self.domain(seat), self.domain(other), true)).sum()
-    }
-
-    fn holder(&self, row: u32, position: usize) -> u16 {
-        self.rows[row as usize][position]
+    /// How many domains a seat shares with a row's owners except one, zones before racks.
+    pub(crate) fn shared_domains(&self, seat: u16, owners: &[u16], except: u16) -> u32 {
+        let others = owners.iter().filter(|&&owner| owner != except);
+        others.map(|&owner| pair_cost(self.domain(seat), self.domain(owner), 1)).sum()
     }
 
     fn gives(&self, donor: u16, donors: Donors, search: &Search) -> bool {
-        const ONE_EIGHTH: u64 = 1;
         let load = self.load(donor, search.kind);
         let weight = Units::from(self.weights[usize::from(donor)]);
         match donors {
             Donors::AboveTarget if weight == search.weight => load > search.target,
-            Donors::AboveTarget => search.shares.exceeds(load, search.positions, weight, 0),
-            Donors::Overloaded => search.shares.exceeds(load, search.positions, weight, ONE_EIGHTH),
+            Donors::AboveTarget => search.shares.exceeds(load, search.positions, weight, 16),
+            Donors::NearTarget => search.shares.exceeds(load, search.positions, weight, 15),
+            Donors::Overloaded => search.shares.exceeds(load, search.positions, weight, 18),
             Donors::MoreLoaded => {
                 let own = self.load(search.seat, search.kind);
                 u64::from(load) * search.weight >= u64::from(own + 1) * weight + search.weight
@@ -348,14 +363,7 @@
 
     /// How far a row is from distinct domains; see [`pair_cost`].
     fn cost(&self, row: u32) -> u32 {
-        let domains = self.rows[row as usize].map(|seat| self.domain(seat));
-        let mut cost = 0;
-        for (position, &first) in domains.iter().enumerate().filter(|&(_, &domain)| domain != Domain::NONE) {
-            for (other, &second) in domains.iter().enumerate().skip(position + 1) {
-                cost += pair_cost(first, second, other < self.layout.owners);
-            }
-        }
-        cost
+        self.layout.cost(&self.rows[row as usize].map(|seat| self.domain(seat)))
     }
 
     /// What the row's cost changes by if `seat` takes the position; none if the row has the seat already.
@@ -367,12 +375,11 @@
             if neighbour == seat {
                 return None;
             }
-            if other != position {
-                let both_own = position.max(other) < self.layout.owners;
-                let neighbour = self.domain(neighbour);
-                change += pair_cost(after, neighbour, both_own) as i32;
-                change -= pair_cost(before, neighbour, both_own) as i32;
-            }
+            // The position itself has grade 0.
+            let grade = self.layout.grade(position, other);
+            let neighbour = self.domain(neighbour);
+            change += pair_cost(after, neighbour, grade) as i32;
+            change -= pair_cost(before, neighbour, grade) as i32;
         }
         Some(change)
     }
--- a/crates/placement/src/conflicts.rs
+++ b/crates/placement/src/conflicts.rs
@@ -1,12 +1,45 @@
 //! How distinct the failure domains of a row are, and which rows could do better.
 
 use crate::domains::{RackId, ZoneId};
-/// Two seats of a row that share a rack, and two that share a zone; one of them a spare. Each grade outweighs all pairs
-/// of the lesser ones together: a row of six has 15 pairs, six of them of owners.
+use crate::list::MAX_REPLICAS;
+/// Spare seats of a row, which take a lost owner's place. With two, a lost owner's shards stay in distinct zones, and
+/// the shards of a lost zone go to seats that share them out by their quota.
+pub(crate) const SPARES: usize = 2;
+
+/// The longest row. Shorter ones end in [`NOBODY`]: a fixed length lets the compiler unroll what is done most often.
+pub(crate) const ROW: usize = MAX_REPLICAS + SPARES;
+
+/// A position that no seat holds: the region has fewer seats than a row has positions, or the row is shorter.
+pub(crate) const NOBODY: u16 = u16::MAX;
+
+/// Two seats of a row that share a rack, and what sharing a zone adds to it.
 const SHARED_RACK: u32 = 1;
-const SHARED_ZONE: u32 = 1 << 4;
-/// The same where both are owners.
+const SHARED_ZONE: u32 = 1 << 3;
+
+/// How much it counts that two owners share a domain, and two seats of which one is a spare: six pairs of owners at most,
+/// 15 pairs in all.
 const OWNERS: u32 = 1 << 8;
+const OTHERS: u32 = 1;
+
+/// Which conflicts are looked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Grade {
+    /// Owners share a zone.
+    Owners,
+    /// Any two seats of the row share a domain.
+    Any,
+}
+
+impl Grade {
+    /// What a row's cost falls by, at least, if such a conflict is resolved.
+    pub(crate) const fn least_gain(self) -> i32 {
+        match self {
+            // Half, as lesser conflicts may arise in its place.
+            Self::Owners => (OWNERS * SHARED_ZONE / 2) as i32,
+            Self::Any => 1,
+        }
+    }
+}
 
 /// Zone and rack of a seat, in one number for quick comparison.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -30,31 +63,63 @@
 pub(crate) struct Layout {
     pub(crate) owners: usize,
     pub(crate) positions: usize,
+    grades: [[u32; ROW]; ROW],
 }
 
 impl Layout {
-    /// The cost of a row whose seats are spread over `zones` zones as evenly as can be, in distinct racks.
-    pub(crate) fn least_cost(self, zones: usize) -> u32 {
-        let owners = pairs_sharing(self.owners, zones);
-        let others = pairs_sharing(self.positions, zones) - owners;
-        (owners * OWNERS + others) * SHARED_ZONE
+    pub(crate) fn new(owners: usize) -> Self {
+        let mut grades = [[0; ROW]; ROW];
+        for (first, grades) in grades.iter_mut().enumerate() {
+            for (second, grade) in grades.iter_mut().enumerate().filter(|&(second, _)| second != first) {
+                *grade = grade_of(owners, first, second);
+            }
+        }
+        Self { owners, positions: owners + SPARES, grades }
+    }
+
+    /// How much it counts that the seats of two positions share a domain; nothing for a position and itself.
+    pub(crate) fn grade(&self, first: usize, second: usize) -> u32 {
+        self.grades[first][second]
+    }
+
+    /// The cost of a row; see [`pair_cost`].
+    pub(crate) fn cost(&self, domains: &[Domain; ROW]) -> u32 {
+        let mut cost = 0;
+        for (first, &domain) in domains.iter().enumerate().filter(|&(_, &domain)| domain != Domain::NONE) {
+            for (second, &other) in domains.iter().enumerate().skip(first + 1) {
+                cost += pair_cost(domain, other, self.grade(first, second));
+            }
+        }
+        cost
+    }
+
+    /// The least cost that a row can have in a region of so many zones: the best of all ways to spread its seats over
+    /// them, in distinct racks.
+    pub(crate) fn least_cost(&self, zones: usize) -> u32 {
+        let zones = zones.clamp(1, self.positions) as u32;
+        let ways = zones.pow(self.positions as u32);
+        let costs = (0..ways).map(|way| {
+            let mut domains = [Domain::NONE; ROW];
+            for (position, domain) in domains.iter_mut().enumerate().take(self.positions) {
+                let zone = way / zones.pow(position as u32) % zones;
+                *domain = Domain::new(ZoneId(zone as u16), RackId(position as u16));
+            }
+            self.cost(&domains)
+        });
+        costs.min().unwrap_or(0)
     }
 }
 
-/// Pairs in one zone if `seats` are spread evenly over `zones`.
-fn pairs_sharing(seats: usize, zones: usize) -> u32 {
-    let zones = zones.max(1);
-    let (each, more) = (seats / zones, seats % zones);
-    let pairs = (zones - more) * each * each.saturating_sub(1) / 2 + more * (each + 1) * each / 2;
-    pairs as u32
+/// The grade of two positions.
+fn grade_of(owners: usize, first: usize, second: usize) -> u32 {
+    if first.max(second) < owners { OWNERS } else { OTHERS }
 }
 
 /// What two seats of a row add to its cost.
-pub(crate) fn pair_cost(first: Domain, second: Domain, both_own: bool) -> u32 {
+pub(crate) fn pair_cost(first: Domain, second: Domain, grade: u32) -> u32 {
     let difference = first.0 ^ second.0;
     let shared_zone = if difference >> u16::BITS == 0 { SHARED_ZONE } else { 0 };
     let shared_rack = if difference == 0 { SHARED_RACK } else { 0 };
-    let grade = if both_own { OWNERS } else { 1 };
     (shared_zone + shared_rack) * grade
 }
 
@@ -75,11 +140,14 @@
         }
     }
 
-    /// Forgets all rows; from now on rows above `least_cost` are listed.
-    pub(crate) fn clear(&mut self, least_cost: u32) {
+    /// Forgets all rows; from now on rows are listed that have conflicts of a grade beyond `least_cost`.
+    pub(crate) fn clear(&mut self, least_cost: u32, grade: Grade) {
         self.rows = Vec::new();
         self.listed.fill(0);
-        self.least_cost = least_cost;
+        self.least_cost = match grade {
+            Grade::Owners => least_cost + OWNERS * SHARED_ZONE - 1,
+            Grade::Any => least_cost,
+        };
     }
 
     pub(crate) fn shrink(&mut self) {
--- a/crates/placement/src/region.rs
+++ b/crates/placement/src/region.rs
@@ -1,6 +1,7 @@
 //! One region's part of the table: the base rows, which seats are filled, and the owners that follow from both.
 
-use crate::base::{BaseSeat, BaseTable, NOBODY, SPARES};
+use crate::base::{BaseSeat, BaseTable};
+use crate::conflicts::NOBODY;
 use crate::fallback::{FallbackOrder, RANKS};
 use crate::hash::Digest;
 use crate::list::{MAX_REPLICAS, SeatId};
@@ -166,11 +167,11 @@
     fn resolve(&mut self, row: u32) {
         let wanted = self.replicas.min(self.members.len());
         let mut chosen = Chosen { seats: [NOBODY; MAX_REPLICAS], len: 0 };
-        let (owners, spares) = self.base.row(row);
+        let (owners, _) = self.base.row(row);
         for &seat in owners.iter().filter(|&&seat| self.is_filled(seat)) {
             chosen.push(seat);
         }
-        self.choose_spares(spares, wanted, &mut chosen);
+        self.choose_spares(row, wanted, &mut chosen);
         let walks = chosen.len < wanted;
         if walks {
             self.walk(self.order(row), wanted, &mut chosen);
@@ -187,22 +188,18 @@
         seat != NOBODY && self.filled[usize::from(seat)]
     }
 
-    /// Puts filled spares in the place of missing owners. Where more spares are filled than owners are missing, those
-    /// come first that share the fewest domains with the owners.
-    fn choose_spares(&self, spares: &[u16], wanted: usize, chosen: &mut Chosen) {
-        let mut filled = [NOBODY; SPARES];
-        let mut count = 0;
-        for &spare in spares.iter().filter(|&&spare| self.is_filled(spare)) {
-            filled[count] = spare;
-            count += 1;
-        }
-        let missing = wanted - chosen.len;
-        let filled = &mut filled[..count];
-        if missing < count {
-            filled.sort_by_key(|&spare| self.base.shared_domains(spare, chosen.seats()));
-        }
-        for &spare in filled.iter().take(missing) {
-            chosen.push(spare);
+    /// Puts filled spares in the place of missing owners, for each that spare first which shares the fewest domains with
+    /// the row's other owners. Filled or not, those stay the same, so that a seat that is lost or filled changes the
+    /// place of no other.
+    fn choose_spares(&self, row: u32, wanted: usize, chosen: &mut Chosen) {
+        let (owners, spares) = self.base.row(row);
+        for missing in owners.iter().filter(|&&owner| !self.is_filled(owner)) {
+            let free =
+                spares.iter().filter(|spare| self.is_filled(**spare) && !chosen.seats().contains(spare));
+            let others = |spare: &&u16| self.base.shared_domains(**spare, owners, *missing);
+            if let Some(&spare) = free.min_by_key(others).filter(|_| chosen.len < wanted) {
+                chosen.push(spare);
+            }
         }
     }
 
--- a/crates/placement/src/target.rs
+++ b/crates/placement/src/target.rs
@@ -58,10 +58,9 @@
         (positions * weight.min(self.cap) / self.total) as u32
     }
 
-    /// Whether a load exceeds the target by more than `margin` eighths of it.
-    pub(crate) fn exceeds(self, load: u32, positions: u64, weight: Units, margin: u64) -> bool {
-        const EIGHTHS: u64 = 8;
+    /// Whether a load exceeds so many sixteenths of the target.
+    pub(crate) fn exceeds(self, load: u32, positions: u64, weight: Units, sixteenths: u64) -> bool {
         let target = positions * weight.min(self.cap);
-        u64::from(load) * self.total * EIGHTHS > target * (EIGHTHS + margin)
+        u64::from(load) * self.total * 16 > target * sixteenths
     }
 }
--- /dev/null
+++ b/crates/placement/tests/refusals.rs
@@ -0,0 +1,311 @@
+//! Lists and changes that don't hold are refused with place and mend named, and the list in force stays.
+
+mod support;
+
+use embershore_placement::wire::{ListForm, MemberForm, WideForm};
+use embershore_placement::{Answer, Change, Changes, ListError, MAX_SEATS, MemberList, SeatId};
+use support::{fleet, list, member_form, seat_form};
+
+/// A fault, and words that its error has to say: the place, and the mend.
+struct Case {
+    name: &'static str,
+    spoil: fn(&mut ListForm),
+    says: &'static [&'static str],
+}
+
+const LISTS: &[Case] = &[
+    Case {
+        name: "a name twice",
+        spoil: |form| member(form, 4).name = "sender-00001".into(),
+        says: &["seats[4]", "sender-00001", "seats[1]", "vacate one"],
+    },
+    Case {
+        name: "an address twice",
+        spoil: |form| member(form, 5).address = "127.0.0.2:7001".into(),
+        says: &["seats[5]", "127.0.0.2:7001", "seats[2]", "each member its own"],
+    },
+    Case {
+        name: "an address without a port",
+        spoil: |form| member(form, 5).address = "127.0.0.2".into(),
+        says: &["seats[5].member.address", "IP address and a port"],
+    },
+    Case {
+        name: "port 0",
+        spoil: |form| member(form, 5).address = "127.0.0.2:0".into(),
+        says: &["seats[5].member.address", "port other than 0"],
+    },
+    Case {
+        name: "a member without a name",
+        spoil: |form| member(form, 5).name = " ".into(),
+        says: &["seats[5].member.name", "give it a name"],
+    },
+    Case {
+        name: "no region of that name",
+        spoil: |form| form.seats[3].region = "r9".into(),
+        says: &["seats[3].region", "r9", "add the region"],
+    },
+    Case {
+        name: "no region",
+        spoil: |form| form.seats[3].region.clear(),
+        says: &["seats[3].region", "add the region"],
+    },
+    Case {
+        name: "no zone",
+        spoil: |form| form.seats[3].zone.clear(),
+        says: &["seats[3].zone", "give it a name"],
+    },
+    Case {
+        name: "no rack",
+        spoil: |form| form.seats[3].rack.clear(),
+        says: &["seats[3].rack", "give it a name"],
+    },
+    Case { name: "weight 0", spoil: |form| form.seats[2].weight = 0.0, says: WEIGHT },
+    Case { name: "weight that rounds to 0", spoil: |form| form.seats[2].weight = 0.0001, says: WEIGHT },
+    Case { name: "weight NaN", spoil: |form| form.seats[2].weight = f64::NAN, says: WEIGHT },
+    Case { name: "weight infinite", spoil: |form| form.seats[2].weight = f64::INFINITY, says: WEIGHT },
+    Case { name: "weight negative", spoil: |form| form.seats[2].weight = -1.0, says: WEIGHT },
+    Case { name: "weight over 100", spoil: |form| form.seats[2].weight = 100.5, says: WEIGHT },
+    Case {
+        name: "unknown scheme",
+        spoil: |form| form.scheme = 2,
+        says: &["scheme is 2", "keep to scheme 1"],
+    },
+    Case { name: "no replicas", spoil: |form| form.replicas = 0, says: &["replicas is 0", "give 1 to 4"] },
+    Case { name: "five replicas", spoil: |form| form.replicas = 5, says: &["replicas is 5", "give 1 to 4"] },
+    Case {
+        name: "fewer members than replicas",
+        spoil: |form| {
+            for seat in form.seats.iter_mut().filter(|seat| seat.region == "r1").skip(1) {
+                seat.member = None;
+            }
+        },
+        says: &["region r1 has 1 members for 2 replicas", "fill seats there"],
+    },
+    Case {
+        name: "a region without seats",
+        spoil: |form| form.regions.push(region("r2", 1)),
+        says: &["region r2 has 0 members", "fill seats there"],
+    },
+    Case {
+        name: "no regions",
+        spoil: |form| form.regions.clear(),
+        says: &["regions is empty", "name at least one"],
+    },
+    Case {
+        name: "a region twice",
+        spoil: |form| form.regions.push(region("r0", 1)),
+        says: &["regions[2]", "r0", "regions[0]", "once"],
+    },
+    Case {
+        name: "share 0",
+        spoil: |form| form.regions[1].share = 0,
+        says: &["regions[1]", "share 0", "at least 1"],
+    },
+    Case {
+        name: "a region without a name",
+        spoil: |form| form.regions[1].name.clear(),
+        says: &["regions[1].name", "give it a name"],
+    },
+    Case {
+        name: "too many regions",
+        spoil: |form| form.regions = (0..257).map(|number| region(&number.to_string(), 1)).collect(),
+        says: &["regions has 257", "at most 256"],
+    },
+    Case {
+        name: "too many seats",
+        spoil: |form| form.seats = vec![form.seats[0].clone(); MAX_SEATS + 1],
+        says: &["seats has 65536", "at most 65535"],
+    },
+    Case {
+        name: "width 1",
+        spoil: |form| form.wide.push(wide(7, 1)),
+        says: &["destination 7", "width 1", "2 to 1024"],
+    },
+    Case {
+        name: "width 1,025",
+        spoil: |form| form.wide.push(wide(7, 1025)),
+        says: &["width 1025", "2 to 1024"],
+    },
+    Case {
+        name: "a wide destination twice",
+        spoil: |form| form.wide.extend([wide(7, 2), wide(7, 3)]),
+        says: &["destination 7 twice", "list it once"],
+    },
+    Case {
+        name: "too many wide destinations",
+        spoil: |form| form.wide = (0..65_537).map(|dest| wide(dest, 2)).collect(),
+        says: &["wide has 65537", "at most 65536"],
+    },
+];
+
+const WEIGHT: &[&str] = &["seats[2].weight", "at most 100"];
+
+fn member(form: &mut ListForm, seat: usize) -> &mut MemberForm {
+    form.seats[seat].member.as_mut().expect("a filled seat")
+}
+
+fn region(name: &str, share: u32) -> embershore_placement::wire::RegionForm {
+    embershore_placement::wire::RegionForm { name: name.into(), share }
+}
+
+fn wide(dest: i64, width: u64) -> WideForm {
+    WideForm { dest, width }
+}
+
+fn small() -> ListForm {
+    fleet(&[2, 2], 8, 2)
+}
+
+#[track_caller]
+fn assert_says(case: &str, error: &ListError, words: &[&str]) {
+    let text = error.to_string();
+    for word in words {
+        assert!(text.contains(word), "{case}: {text:?} does not say {word:?}");
+    }
+}
+
+#[test]
+fn a_list_that_does_not_hold_is_refused_with_place_and_mend() {
+    assert!(MemberList::from_form(small()).is_ok());
+    for case in LISTS {
+        let mut form = small();
+        (case.spoil)(&mut form);
+        let error = MemberList::from_form(form).expect_err(case.name);
+        assert_says(case.name, &error, case.says);
+    }
+}
+
+#[test]
+fn changes_that_do_not_fit_are_refused_and_the_list_stays() {
+    let fill = |seat, number| Change::Fill { seat: SeatId(seat), member: member_form(number) };
+    let vacate = |seat| Change::Vacate { seat: SeatId(seat) };
+    let cases: Vec<(&str, Changes, &[&str])> = vec![
+        ("another epoch's changes", from(6, 8, vec![vacate(0)]), &["since epoch 6", "epoch 7", "whole list"]),
+        (
+            "changes since a later epoch",
+            from(8, 9, vec![vacate(0)]),
+            &["since epoch 8", "epoch 7", "whole list"],
+        ),
+        ("the same epoch", from(7, 7, vec![vacate(0)]), &["lead to epoch 7", "raise the epoch"]),
+        ("an older epoch", from(7, 6, vec![vacate(0)]), &["lead to epoch 6", "raise the epoch"]),
+        ("a seat out of range", next(vec![vacate(8)]), &["seat 8", "has 8", "append it"]),
+        ("filling out of range", next(vec![fill(65_535, 99)]), &["seat 65535", "has 8"]),
+        ("filling a filled seat", next(vec![fill(3, 99)]), &["seat 3", "sender-00003", "vacate it first"]),
+        (
+            "vacating a vacant seat",
+            next(vec![vacate(0), vacate(0)]),
+            &["seat 0 is vacant", "correct the number"],
+        ),
+        ("a name twice", next(vec![vacate(0), fill(0, 5)]), &["seats[0]", "sender-00005", "seats[5]"]),
+        (
+            "an address twice",
+            next(vec![vacate(0), fill_with_address(0, 5)]),
+            &["seats[0]", "127.0.0.5", "seats[5]"],
+        ),
+        ("too few members", next([0, 2, 4].map(vacate).into()), &["region r0 has 1 members", "fill seats"]),
+        (
+            "appending without a zone",
+            next(vec![append(|seat| seat.zone.clear())]),
+            &["seats[8].zone", "name"],
+        ),
+        (
+            "appending without a rack",
+            next(vec![append(|seat| seat.rack.clear())]),
+            &["seats[8].rack", "name"],
+        ),
+        (
+            "appending to no region",
+            next(vec![append(|seat| seat.region = "r7".into())]),
+            &["seats[8].region", "r7"],
+        ),
+        (
+            "appending weight 0",
+            next(vec![append(|seat| seat.weight = 0.0)]),
+            &["seats[8].weight", "at most 100"],
+        ),
+        (
+            "appending a name twice",
+            next(vec![append(|seat| seat.member = Some(member_form(1)))]),
+            &["seats[8]"],
+        ),
+        ("width 0", next(vec![Change::Widen(wide(7, 0))]), &["destination 7", "width 0", "1 in a change"]),
+        ("width 1,025", next(vec![Change::Widen(wide(7, 1025))]), &["width 1025", "2 to 1024"]),
+    ];
+    let list = list(ListForm { epoch: 7, ..small() });
+    let digest = list.digest();
+    for (name, changes, words) in cases {
+        let error = list.apply(&changes).expect_err(name);
+        assert_says(name, &error, words);
+        assert_eq!((list.epoch(), list.digest()), (7, digest), "{name}");
+    }
+    assert!(list.apply(&next(vec![vacate(0), fill(0, 99)])).is_ok());
+}
+
+fn from(since: u64, epoch: u64, changes: Vec<Change>) -> Changes {
+    Changes { epoch, since, changes }
+}
+
+fn next(changes: Vec<Change>) -> Changes {
+    from(7, 8, changes)
+}
+
+fn append(spoil: fn(&mut embershore_placement::wire::SeatForm)) -> Change {
+    let mut seat = seat_form(0, 1, 0, Some(99));
+    spoil(&mut seat);
+    Change::Append(seat)
+}
+
+fn fill_with_address(seat: u16, of: usize) -> Change {
+    let member = MemberForm { name: "another".into(), ..member_form(of) };
+    Change::Fill { seat: SeatId(seat), member }
+}
+
+#[test]
+fn an_older_or_different_list_does_not_follow() {
+    let current = list(ListForm { epoch: 7, ..small() });
+    let older = list(ListForm { epoch: 6, ..small() });
+    let error = current.check_successor(&older).expect_err("an older epoch");
+    assert_says("an older epoch", &error, &["epoch 6", "epoch 7", "above 7"]);
+
+    let mut form = ListForm { epoch: 7, ..small() };
+    member(&mut form, 3).name = "somebody-else".into();
+    let error = current.check_successor(&list(form)).expect_err("another list");
+    assert_says("another list under the same epoch", &error, &["epoch 7", "another list", "raise the epoch"]);
+
+    assert_eq!(current.check_successor(&current), Ok(()));
+    assert_eq!(current.check_successor(&list(ListForm { epoch: 8, ..small() })), Ok(()));
+}
+
+#[test]
+fn json_of_another_form_is_refused_with_its_place() {
+    let cases: &[(&str, &str, &[&str])] = &[
+        ("cut off", r#"{"epoch":7,"#, &["not readable", "line 1 column"]),
+        ("no list", "[]", &["not readable"]),
+        (
+            "weight NaN",
+            r#"{"epoch":1,"scheme":1,"replicas":1,"regions":[],"seats":[{"weight":NaN}]}"#,
+            &["not readable"],
+        ),
+        ("negative epoch", r#"{"epoch":-7,"since":7,"changes":[]}"#, &["not readable", "-7"]),
+        (
+            "no change",
+            r#"{"epoch":8,"since":7,"changes":[{}]}"#,
+            &["changes[0]", "give either seat with member"],
+        ),
+        ("a seat without a member", r#"{"epoch":8,"since":7,"changes":[{"seat":3}]}"#, &["changes[0]"]),
+        (
+            "two changes in one",
+            r#"{"epoch":8,"since":7,"changes":[{"seat":1,"member":null},{"seat":3,"member":null,"wide":{"dest":1,"width":2}}]}"#,
+            &["changes[1]", "not one change"],
+        ),
+        (
+            "a seat beyond all",
+            r#"{"epoch":8,"since":7,"changes":[{"seat":65535,"member":null}]}"#,
+            &["seat 65535"],
+        ),
+    ];
+    for (name, json, words) in cases {
+        let error = Answer::parse_json(json.as_bytes()).expect_err(name);
+        assert_says(name, &error, words);
+    }
+}
--- a/crates/placement/tests/support/mod.rs
+++ b/crates/placement/tests/support/mod.rs
@@ -1,8 +1,10 @@
 //! Fleets for tests and measurements of placement.
 #![allow(dead_code, reason = "each program uses a part")]
 
+use std::collections::BTreeMap;
+
 use embershore_placement::wire::{ListForm, MemberForm, RegionForm, SeatForm};
-use embershore_placement::{MemberList, SeatId};
+use embershore_placement::{Change, Changes, MemberList, SHARDS, SeatId, ShardId, Table, shard};
 
 /// Seats of a rack.
 pub const RACK: usize = 40;
@@ -78,3 +80,123 @@
 pub fn seats_where(list: &MemberList, chosen: impl Fn(SeatId) -> bool) -> Vec<SeatId> {
     list.seat_ids().filter(|&seat| chosen(seat)).collect()
 }
+
+/// Changes from a list to the next epoch.
+pub fn changes(list: &MemberList, changes: Vec<Change>) -> Changes {
+    Changes { epoch: list.epoch() + 1, since: list.epoch(), changes }
+}
+
+/// The list that changes lead to.
+pub fn applied(list: &MemberList, entries: Vec<Change>) -> (MemberList, Changes) {
+    let changes = changes(list, entries);
+    (list.apply(&changes).expect("changes that fit"), changes)
+}
+
+/// Changes that vacate seats.
+pub fn vacate(seats: &[SeatId]) -> Vec<Change> {
+    seats.iter().map(|&seat| Change::Vacate { seat }).collect()
+}
+
+/// Changes that fill seats with the members that `list` has there.
+pub fn refill(list: &MemberList, seats: &[SeatId]) -> Vec<Change> {
+    let member = |seat| list.member(seat).expect("a filled seat");
+    seats.iter().map(|&seat| Change::Fill { seat, member: member(seat).into() }).collect()
+}
+
+/// All shards.
+pub fn shards() -> impl Iterator<Item = ShardId> {
+    (0..SHARDS).map(ShardId)
+}
+
+/// What one change moved.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct Moves {
+    /// Shards that each seat gained.
+    pub gained: BTreeMap<SeatId, u32>,
+    /// Shards that each seat lost.
+    pub lost: BTreeMap<SeatId, u32>,
+}
+
+impl Moves {
+    pub fn between(before: &Table, after: &Table) -> Self {
+        let mut moves = Self::default();
+        for shard in shards() {
+            let (old, new) = (before.owners(shard), after.owners(shard));
+            for seat in new.iter().filter(|seat| !old.contains(seat)) {
+                *moves.gained.entry(*seat).or_default() += 1;
+            }
+            for seat in old.iter().filter(|seat| !new.contains(seat)) {
+                *moves.lost.entry(*seat).or_default() += 1;
+            }
+        }
+        moves
+    }
+
+    pub fn count(&self) -> u32 {
+        self.gained.values().sum()
+    }
+}
+
+/// Shards that each seat owns.
+pub fn shard_loads(table: &Table, list: &MemberList) -> Vec<u32> {
+    let mut loads = vec![0; list.seat_count()];
+    for owner in shards().flat_map(|shard| table.owners(shard)) {
+        loads[owner.index()] += 1;
+    }
+    loads
+}
+
+/// Destinations that each seat owns.
+pub fn destination_loads(
+    table: &Table,
+    list: &MemberList,
+    destinations: impl Iterator<Item = i64>,
+) -> Vec<u32> {
+    let mut loads = vec![0; list.seat_count()];
+    for owner in destinations.flat_map(|dest| table.owners(shard(dest))) {
+        loads[owner.index()] += 1;
+    }
+    loads
+}
+
+/// Evenness of some seats' loads.
+#[derive(Clone, Copy, Debug)]
+pub struct Evenness {
+    pub mean: f64,
+    pub least: f64,
+    pub most: f64,
+}
+
+impl Evenness {
+    pub fn of(loads: impl IntoIterator<Item = f64>) -> Self {
+        let loads: Vec<f64> = loads.into_iter().collect();
+        Self {
+            mean: loads.iter().sum::<f64>() / loads.len() as f64,
+            least: loads.iter().copied().fold(f64::INFINITY, f64::min),
+            most: loads.iter().copied().fold(0.0, f64::max),
+        }
+    }
+
+    /// Evenness over the filled seats of a region, or of all.
+    pub fn of_members(loads: &[u32], list: &MemberList, region: Option<&str>) -> Self {
+        let members = list.seat_ids().filter(|&seat| list.member(seat).is_some());
+        let chosen = members.filter(|&seat| region.is_none_or(|region| list.region_name(seat) == region));
+        Self::of(chosen.map(|seat| f64::from(loads[seat.index()])))
+    }
+
+    /// The busiest relative to the mean.
+    pub fn busiest(&self) -> f64 {
+        self.most / self.mean
+    }
+}
+
+impl std::fmt::Display for Evenness {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let (mean, least, most) = (self.mean, self.least, self.most);
+        write!(
+            formatter,
+            "mean {mean:.2}, least {least}, most {most}, busiest {:.3} of the mean",
+            self.busiest()
+        )
+    }
+}
