--- a/crates/placement/tests/ownership.rs
+++ b/crates/placement/tests/ownership.rs
@@ -285,6 +285,24 @@
     assert_eq!(ownership.takes(SECOND, dest), Takes::OnHold(SECOND + HOLD));
 }
 
+/// Preferences of keys go by seat: what a member keeps in another seat is as new to it as what it gains.
+#[test]
+fn a_member_that_moves_to_another_seat_waits_with_all() {
+    let vacant = list(ListForm { first: true, ..with_vacant(5) });
+    let moved = Change::Fill { seat: SeatId(5), member: member_form(0) };
+    let step = changes(1, 2, vec![vacate(0), moved]);
+    let next = vacant.apply(&step).unwrap();
+    let (before, after) = (table(&vacant), table(&next));
+    let keeps =
+        |shard: ShardId| before.owners(shard).contains(&OWN) && after.owners(shard).contains(&SeatId(5));
+    let dest = (0..).find(|&dest| keeps(shard(dest))).unwrap();
+    let mut ownership = heard(OWN, &vacant);
+    assert_eq!(ownership.takes(0, dest), Takes::Yes);
+    hear(&mut ownership, SECOND, SECOND, Answer::Changes(step)).unwrap();
+    assert_eq!(ownership.seat(), Some(SeatId(5)));
+    assert_eq!(ownership.takes(SECOND, dest), Takes::OnHold(SECOND + HOLD));
+}
+
 #[test]
 fn a_whole_list_makes_all_new_unless_it_is_the_next_one() {
     let members = first_list();
