--- a/crates/scale/src/slopes/hollow_check.rs
+++ b/crates/scale/src/slopes/hollow_check.rs
@@ -34,7 +34,7 @@
 /// When the daemon can't be started, or refuses messages.
 pub fn run(setup: &Setup) -> Result<Report> {
     let (short, long) = (100, if setup.small { 1_000 } else { 10_000 });
-    let (repeats, seconds) = if setup.small { (1, 2) } else { (5, 8) };
+    let (repeats, seconds) = if setup.small { (1, 1) } else { (5, 8) };
     let mut report = Report::new("hollow-check", setup);
     report.input("destinations", format!("{short} and {long}, {} active", message_cpu::ACTIVE));
     report.input("load", format!("{} messages a second for {seconds} s, {repeats} times", message_cpu::RATE));
--- a/crates/scale/src/slopes/message_cpu.rs
+++ b/crates/scale/src/slopes/message_cpu.rs
@@ -15,8 +15,8 @@
 /// from what a connection costs.
 pub const ACTIVE: usize = 100;
 const PATIENCE: Duration = Duration::from_secs(30);
-/// The load before the measured one, in which connections come up.
-const WARM_UP: Duration = Duration::from_secs(2);
+/// The load before the measured one, in which connections come up, is a part of it.
+const WARM_UP_PART: u32 = 4;
 
 /// Seconds of processor time for each message taken.
 pub async fn sample(setup: &Setup, listed: usize, active: usize, span: Duration) -> Result<f64> {
@@ -25,7 +25,7 @@
     let directory = Directory::start(endpoints.to_json()?).await?;
     let mut daemon = Daemon::start(&setup.binary, directory.address, &Options::default())?;
     daemon.ready(listed, PATIENCE).await?;
-    offer(daemon.address, "warm", RATE, WARM_UP, active).await?;
+    offer(daemon.address, "warm", RATE, span / WARM_UP_PART, active).await?;
     let before = daemon.cpu_seconds()?;
     let handed = offer(daemon.address, "load", RATE, span, active).await?;
     let used = daemon.cpu_seconds()? - before;
@@ -41,7 +41,7 @@
 pub fn run(setup: &Setup) -> Result<Report> {
     let owned = (SENDER_DESTINATIONS * BUSIEST_OWNER.limit) as usize;
     let sizes: &[usize] = if setup.small { &[100, owned] } else { &[100, owned, 1_000, 10_000] };
-    let (repeats, span) = if setup.small { (1, Duration::from_secs(2)) } else { (5, Duration::from_secs(8)) };
+    let (repeats, span) = if setup.small { (1, Duration::from_secs(1)) } else { (5, Duration::from_secs(8)) };
     let mut report = Report::new("message-cpu", setup);
     report.input("destinations", format!("{sizes:?}"));
     report.input("load", format!("{RATE} messages a second of 200 bytes for {span:?}, {repeats} times"));
