Options: section [placement], and the daemon reads an options file

Placement has to be switched on by the operator: name, forward address, control agents, lease. The daemon still refuses to run with it.

--- a/crates/options/src/lib.rs
+++ b/crates/options/src/lib.rs
@@ -7,6 +7,7 @@
 use embershore_owed::rules::Section;
 use embershore_owed::{ClassFacts, Rules};
 use embershore_peer::options::{FleetOptions, Section as FleetSection};
+use embershore_placement::options::{PlacementOptions, Section as PlacementSection};
 use serde::Deserialize;
 use std::path::{Path, PathBuf};
 
@@ -18,6 +19,7 @@
 struct Root {
     owed: Option<Section>,
     fleet: Option<FleetSection>,
+    placement: Option<PlacementSection>,
 }
 
 /// What the operator has switched on.
@@ -27,6 +29,8 @@
     pub owed: Option<Rules>,
     /// The other senders; none is known where there is none.
     pub fleet: Option<FleetOptions>,
+    /// Which destinations this sender owns; it owns all where there is none.
+    pub placement: Option<PlacementOptions>,
 }
 
 /// A file that can't be used. Nothing of it has taken effect.
@@ -71,9 +75,14 @@
         let mut found: Vec<Placed> = Vec::new();
         let owed = root.owed.map(|section| section.check(classes).map_err(|f| found.extend(f)));
         let fleet = root.fleet.map(|section| section.check().map_err(|f| found.extend(f)));
+        let placement = root.placement.map(|section| section.check().map_err(|f| found.extend(f)));
         if !found.is_empty() {
             return Err(Placed::findings(text, found));
         }
-        Ok(Options { owed: owed.and_then(Result::ok), fleet: fleet.and_then(Result::ok) })
+        Ok(Options {
+            owed: owed.and_then(Result::ok),
+            fleet: fleet.and_then(Result::ok),
+            placement: placement.and_then(Result::ok),
+        })
     }
 }
--- a/crates/options/tests/options.rs
+++ b/crates/options/tests/options.rs
@@ -13,7 +13,11 @@
     assert_eq!(Options::parse("", &classes()), Ok(Options::default()));
     assert_eq!(Options::parse("# nothing yet\n", &classes()), Ok(Options::default()));
     let options = Options::parse("[owed]\nmax_mb = 2\n[[owed.rule]]\nclass = [\"payout\"]\n", &classes());
-    assert_eq!(options.expect("good").owed.expect("on").rules.len(), 1);
+    let options = options.expect("good");
+    assert_eq!((options.owed.expect("on").rules.len(), options.placement), (1, None));
+    let section = "[placement]\nname = \"n0\"\nlisten = \"127.0.0.1:7001\"\ncontrol = [\"127.0.0.1:7100\"]\n";
+    let options = Options::parse(section, &classes()).expect("good");
+    assert_eq!((options.owed, options.placement.expect("on").name.as_str()), (None, "n0"));
 }
 
 #[test]
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -2,3 +2,5 @@
 //! are parameters.
 #![warn(missing_docs)]
 #![forbid(unsafe_code)]
+
+pub mod options;
--- a/crates/sender/src/check.rs
+++ b/crates/sender/src/check.rs
@@ -1,17 +1,18 @@
 //! `embershore check`: an options file is checked against a daemon's configuration, and shown as what it means.
 
 use crate::cli::BAD;
-use crate::daemon::Config;
+use crate::daemon::{Config, class_facts};
 use clap::Args;
 use embershore_options::{Options, OptionsError};
 use embershore_owed::rules::Then;
 use embershore_owed::{ClassFacts, Reason, Rules};
 use embershore_peer::options::FleetOptions;
+use embershore_placement::options::PlacementOptions;
 use heronroute::Effect;
 use serde::Serialize;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::process::ExitCode;
 
 const EXAMPLES: &str = "\
@@ -93,6 +94,40 @@
     }
 }
 
+/// What the section on placement amounts to.
+#[derive(Debug, PartialEq, Serialize)]
+struct ShownPlacement {
+    name: String,
+    listen: SocketAddr,
+    control: Vec<SocketAddr>,
+    lease: String,
+    ask_every: String,
+    owner_connections: usize,
+}
+
+impl ShownPlacement {
+    fn of(placement: &PlacementOptions) -> ShownPlacement {
+        ShownPlacement {
+            name: placement.name.clone(),
+            listen: placement.listen,
+            control: placement.control.clone(),
+            lease: span(placement.lease),
+            ask_every: span(placement.ask_every),
+            owner_connections: placement.owner_connections,
+        }
+    }
+
+    fn text(&self) -> String {
+        let ShownPlacement { name, listen, control, lease, ask_every, owner_connections } = self;
+        let control: Vec<String> = control.iter().map(SocketAddr::to_string).collect();
+        format!(
+            "placement: this is '{name}', takes forwarded requests at {listen}, asks {} every {ask_every} for a lease \
+             of {lease}, keeps {owner_connections} connections to other members at most",
+            control.join(", ")
+        )
+    }
+}
+
 /// In words, what a rule does with a message of this class that ended for this reason.
 fn fate(rules: &Rules, receiver: i64, class: &ClassFacts, reason: Reason) -> (Option<String>, String) {
     let Some(rule) = rules.rule_of(receiver, &class.name, reason) else {
@@ -147,22 +182,10 @@
     list
 }
 
-/// The classes that a configuration knows.
-fn classes(config: &Path) -> Result<Vec<ClassFacts>, String> {
-    let config = Config::read(config)?;
-    let names = config.settings.names().classes;
-    let settings = config.settings.settings().classes;
-    let class = |(name, c): (String, heronroute::ClassSettings)| {
-        let (effect, window, deadline) = (c.effect, c.window, c.deadline);
-        ClassFacts { name, effect, window, deadline }
-    };
-    Ok(names.into_iter().zip(settings).map(class).collect())
-}
-
 /// Does what the arguments ask for; its exit code.
 pub fn main(arguments: &Arguments) -> ExitCode {
-    let classes = match classes(&arguments.config) {
-        Ok(classes) => classes,
+    let classes = match Config::read(&arguments.config) {
+        Ok(config) => class_facts(config.settings.names().classes, &config.settings.settings().classes),
         Err(e) => {
             eprintln!("embershore check: {e}");
             return ExitCode::from(BAD);
@@ -171,7 +194,8 @@
     match Options::read(&arguments.file, &classes) {
         Ok(options) => {
             let fates = options.owed.as_ref().map(|rules| fates(rules, &classes));
-            show(arguments, fates, options.fleet.as_ref().map(Seen::of));
+            let fleet = options.fleet.as_ref().map(Seen::of);
+            show(arguments, fates, fleet, options.placement.as_ref().map(ShownPlacement::of));
             ExitCode::SUCCESS
         }
         Err(OptionsError::Wrong { findings, .. }) if arguments.json => {
@@ -189,17 +213,29 @@
     }
 }
 
-fn show(arguments: &Arguments, fates: Option<Vec<Fate>>, fleet: Option<Seen>) {
+fn show(
+    arguments: &Arguments,
+    fates: Option<Vec<Fate>>,
+    fleet: Option<Seen>,
+    placement: Option<ShownPlacement>,
+) {
     if arguments.json {
-        println!("{}", serde_json::json!({ "good": true, "owed": fates, "fleet": fleet }));
+        let mut shown = serde_json::json!({ "good": true, "owed": fates, "fleet": fleet });
+        if let Some(placement) = placement {
+            shown["placement"] = serde_json::json!(placement);
+        }
+        println!("{shown}");
         return;
     }
     println!("{}: good", arguments.file.display());
     if let Some(fleet) = &fleet {
         println!("{}", fleet.text());
     }
+    if let Some(placement) = &placement {
+        println!("{}", placement.text());
+    }
     let Some(fates) = fates else {
-        if fleet.is_none() {
+        if fleet.is_none() && placement.is_none() {
             println!("nothing is switched on");
         }
         return;
--- a/crates/sender/src/daemon.rs
+++ b/crates/sender/src/daemon.rs
@@ -7,6 +7,8 @@
 use crate::input::Input;
 use crate::standing::{Change, Standings};
 use crate::{calls, clients, discovery, fleet, handover, inherited, journal, mgmt, notices, retune};
+use embershore_options::{Options, OptionsError};
+use embershore_owed::ClassFacts;
 use embershore_protocol::listing::Listing;
 use embershore_protocol::settings::{ProfileData, place};
 use heronroute::{ClassSettings, SettingsError};
@@ -120,6 +122,15 @@
     }
 }
 
+/// The classes, as far as the operator's options are checked against them.
+pub(crate) fn class_facts(names: Vec<String>, settings: &[ClassSettings]) -> Vec<ClassFacts> {
+    let facts = |(name, class): (String, &ClassSettings)| {
+        let (effect, window, deadline) = (class.effect, class.window, class.deadline);
+        ClassFacts { name, effect, window, deadline }
+    };
+    names.into_iter().zip(settings).map(facts).collect()
+}
+
 /// What is null counts as not there, and stands for its default.
 fn without_nulls(value: Value) -> Value {
     match value {
@@ -211,7 +222,17 @@
     Held(std::net::TcpListener),
 }
 
-async fn serve() -> Result<(), Box<dyn Error>> {
+/// What the operator's options file switches on: the file that the command line names, or else LB_OPTIONS. Without
+/// either nothing is read.
+fn operator_options(file: Option<PathBuf>, classes: &[ClassFacts]) -> Result<Options, OptionsError> {
+    let named = || std::env::var_os("LB_OPTIONS").filter(|name| !name.is_empty()).map(PathBuf::from);
+    match file.or_else(named) {
+        Some(path) => Options::read(&path, classes),
+        None => Ok(Options::default()),
+    }
+}
+
+async fn serve(options_file: Option<PathBuf>) -> Result<(), Box<dyn Error>> {
     let inherited = inherited::listener()?;
     // Before anything is awaited: by default either signal ends the process.
     let (mut terminate, hang_up) = (signal(SignalKind::terminate())?, signal(SignalKind::hangup())?);
@@ -224,6 +245,10 @@
     let ask_every = config.settings.ask_every().map(|every| Duration::from_micros(every.max(0) as u64));
     let mut settings = config.settings.settings();
     settings.validate().map_err(|e| format!("{}: {}", path.display(), in_the_file(&e)))?;
+    let options = operator_options(options_file, &class_facts(names.classes.clone(), &settings.classes))?;
+    if options.placement.is_some() {
+        return Err("[placement] can be checked, but not switched on yet: leave the section out".into());
+    }
     let state = PathBuf::from(var("LB_STATE")?);
     let open_journal = || {
         journal::Journal::open(&state, (config.limits.disk_mb * 1e6) as u64)
@@ -339,11 +364,12 @@
 }
 
 /// Runs the sender as `LB_CONFIG` and `LB_STATE` in its environment say, until it has been told to stop and has done
-/// so.
+/// so. The operator's options are read from `options`, or else from the file that `LB_OPTIONS` names, if any.
 ///
 /// # Errors
-/// Names what it could not start with: a variable, the configuration, the journal or the address to listen on.
-pub fn run() -> Result<(), Box<dyn Error>> {
+/// Names what it could not start with: a variable, the configuration, the options, the journal or the address to
+/// listen on.
+pub fn run(options: Option<PathBuf>) -> Result<(), Box<dyn Error>> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    tokio::task::LocalSet::new().block_on(&runtime, serve())
+    tokio::task::LocalSet::new().block_on(&runtime, serve(options))
 }
--- a/crates/sender/tests/check.rs
+++ b/crates/sender/tests/check.rs
@@ -90,3 +90,54 @@
     let lines: Vec<&str> = err.lines().map(|l| l.split(": ").next().unwrap_or("")).collect();
     assert_eq!((code, lines), (Some(1), vec!["options.toml:14:11", "options.toml:17:10"]), "{err}");
 }
+
+const PLACEMENT: &str = "[placement]\nname = \"n0\"\nlisten = \"10.0.0.10:7001\"\n\
+    control = [\"10.0.0.1:7100\", \"10.0.0.2:7100\"]\nlease = \"8s\"\n";
+
+#[test]
+fn placement_is_shown_with_its_defaults_and_refused_with_its_places() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let (code, out, err) = check(folder.path(), PLACEMENT, &["--config", "config.json"]);
+    assert_eq!((code, err.as_str()), (Some(0), ""));
+    let line = "placement: this is 'n0', takes forwarded requests at 10.0.0.10:7001, asks 10.0.0.1:7100, 10.0.0.2:7100 \
+                every 2s for a lease of 8s, keeps 64 connections to other members at most";
+    assert!(out.contains(line) && !out.contains("nothing is switched on"), "{out}");
+    let (_, out, _) = check(folder.path(), PLACEMENT, &["--config", "config.json", "--json"]);
+    let told: serde_json::Value = serde_json::from_str(&out).expect("JSON");
+    assert_eq!((&told["placement"]["name"], &told["placement"]["lease"]), (&"n0".into(), &"8s".into()));
+    let wrong = PLACEMENT.replace("8s", "8min").replace("10.0.0.10:7001", "10.0.0.10");
+    let (code, _, err) = check(folder.path(), &wrong, &["--config", "config.json"]);
+    let lines: Vec<&str> = err.lines().map(|l| l.split(": ").next().unwrap_or("")).collect();
+    assert_eq!((code, lines), (Some(1), vec!["options.toml:3:10", "options.toml:5:9"]), "{err}");
+}
+
+#[test]
+fn the_daemon_ends_at_a_wrong_options_file_before_it_listens() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let wrong = PLACEMENT.replace("8s", "1s");
+    std::fs::write(folder.path().join("options.toml"), wrong).expect("written");
+    // An address that is taken: a daemon that came as far as to listen would name it.
+    let taken = std::net::TcpListener::bind("127.0.0.1:0").expect("an address");
+    let address = taken.local_addr().expect("bound").to_string();
+    std::fs::write(folder.path().join("config.json"), CONFIG.replace("127.0.0.1:0", &address))
+        .expect("written");
+    let daemon = |arguments: &[&str], variable: &str| {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_embershore"));
+        command.current_dir(folder.path()).args(arguments);
+        command.env("LB_CONFIG", "config.json").env("LB_STATE", ".").env("LB_OPTIONS", variable);
+        let Output { status, stderr, .. } = command.output().expect("it runs");
+        (status.code(), String::from_utf8(stderr).expect("text"))
+    };
+    for (arguments, variable) in [(&["--options", "options.toml"][..], ""), (&[][..], "options.toml")] {
+        let (code, err) = daemon(arguments, variable);
+        assert_eq!(code, Some(1), "{err}");
+        assert!(
+            err.contains("options.toml:5:9: 'lease' lies between 2s and 5m") && !err.contains("listen on"),
+            "{err}"
+        );
+    }
+    let (_, err) = daemon(&["--options", "missing.toml"], "options.toml");
+    assert!(err.contains("missing.toml"), "the command line goes first: {err}");
+    let (_, err) = daemon(&[], "");
+    assert!(err.contains("listen on"), "no options file, as before: {err}");
+}
