Protocol: lists of endpoints read entry by entry, of which only wanted destinations are kept

A sender that owns some destinations must not hold a list of millions to find them. FilteredListings reads a stream cut at any byte and holds one entry, the kept ones and the list's other fields. The scanner of nested JSON is shared with Listings, whose reading is as before.

--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -1,7 +1,7 @@
 //! # embershore-protocol
 //!
 //! What goes over a sender's sockets, as values and parsers: the clients' commands ([`resp`]), calls to endpoints
-//! ([`call`]), the directory's lines ([`listing`]), the ends told to the platform ([`notice`]) and the settings
+//! ([`call`]), the directory's lines ([`listing`], and in part [`listing_stream`]), the ends told to the platform ([`notice`]) and the settings
 //! ([`settings`]). No I/O: every parser takes bytes and gives a value, an error that says what is wrong, or word
 //! that more is needed. Every length is bounded before anything is stored for it.
 
@@ -10,6 +10,8 @@
 
 pub mod call;
 pub mod listing;
+pub mod listing_stream;
+mod nesting;
 pub mod notice;
 pub mod resp;
 pub mod settings;
--- a/crates/protocol/src/listing.rs
+++ b/crates/protocol/src/listing.rs
@@ -1,5 +1,6 @@
 //! The directory's lines: endpoints, and changes to them.
 
+use crate::nesting::Nesting;
 use serde::{Deserialize, Serialize};
 use std::collections::HashSet;
 use std::fmt;
@@ -25,12 +26,17 @@
     /// later one holds.
     pub fn read(text: &[u8]) -> Result<Self, Flaw> {
         let list: Listing = serde_json::from_slice(text).map_err(Flaw::Object)?;
-        let mut names = HashSet::new();
-        let twice = list.endpoints.iter().find(|line| list.snapshot && !names.insert(&*line.name));
-        match twice {
-            Some(line) => Err(Flaw::Twice(line.name.clone())),
-            None => Ok(list),
-        }
+        unique_names(list)
+    }
+}
+
+/// The list, unless it is a whole one that has a name twice.
+pub(crate) fn unique_names(list: Listing) -> Result<Listing, Flaw> {
+    let mut names = HashSet::new();
+    let twice = list.endpoints.iter().find(|line| list.snapshot && !names.insert(&*line.name));
+    match twice {
+        Some(line) => Err(Flaw::Twice(line.name.clone())),
+        None => Ok(list),
     }
 }
 
@@ -68,9 +74,7 @@
     passed: usize,
     /// How much of the text has been looked at, and where in an object that is.
     seen: usize,
-    depth: usize,
-    quoted: bool,
-    escaped: bool,
+    nesting: Nesting,
 }
 
 /// What in a stream of listings can't be read; nothing after it can.
@@ -80,6 +84,10 @@
     Noise(u8, usize),
     /// An object is no listing.
     Object(serde_json::Error),
+    /// The entry with this number, from 0, is none.
+    Entry(usize, serde_json::Error),
+    /// This byte stands behind so many entries of a list, where a comma, an entry or the list's end is due.
+    BetweenEntries(u8, usize),
     /// A whole list has this name twice.
     Twice(String),
 }
@@ -91,6 +99,10 @@
                 write!(f, "byte {at} behind the last list is {byte:#04x}, where '{{' is due")
             }
             Flaw::Object(e) => write!(f, "a list can't be read: {e}"),
+            Flaw::Entry(number, e) => write!(f, "entry {number} of a list can't be read: {e}"),
+            Flaw::BetweenEntries(byte, count) => {
+                write!(f, "behind {count} entries of a list stands {byte:#04x}, where none is due")
+            }
             Flaw::Twice(name) => write!(f, "'{name}' stands twice in a whole list"),
         }
     }
@@ -111,7 +123,7 @@
 
     /// A listing has begun and is not whole yet.
     pub fn is_within(&self) -> bool {
-        self.depth > 0
+        self.nesting.depth() > 0
     }
 
     /// The next listing that is whole.
@@ -121,25 +133,17 @@
     pub fn next_whole(&mut self) -> Result<Option<Listing>, Flaw> {
         while let Some(byte) = self.text.get(self.seen).copied() {
             self.seen += 1;
-            if self.quoted {
-                (self.quoted, self.escaped) = (self.escaped || byte != b'"', !self.escaped && byte == b'\\');
-                continue;
-            }
-            match byte {
-                b'{' => self.depth += 1,
-                b'[' if self.depth > 0 => self.depth += 1,
-                b'}' | b']' if self.depth > 0 => self.depth -= 1,
-                b'"' if self.depth > 0 => self.quoted = true,
-                _ if self.depth > 0 || byte.is_ascii_whitespace() => {}
-                _ => return Err(Flaw::Noise(byte, self.passed + self.seen)),
+            if self.nesting.depth() == 0 && byte != b'{' && !byte.is_ascii_whitespace() {
+                return Err(Flaw::Noise(byte, self.passed + self.seen));
             }
-            if self.depth == 0 && !byte.is_ascii_whitespace() {
+            self.nesting.advance(byte);
+            if self.nesting.depth() == 0 && !byte.is_ascii_whitespace() {
                 let object: Vec<u8> = self.text.drain(..self.seen).collect();
                 (self.seen, self.passed) = (0, 0);
                 return Listing::read(&object).map(Some);
             }
         }
-        if self.depth == 0 {
+        if self.nesting.depth() == 0 {
             self.passed += self.seen;
             self.text.clear();
             self.seen = 0;
