--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -14,4 +14,5 @@
 mod nesting;
 pub mod notice;
 pub mod resp;
+pub mod resp_client;
 pub mod settings;
