--- a/crates/protocol/src/resp_client.rs
+++ b/crates/protocol/src/resp_client.rs
@@ -50,11 +50,7 @@
         return Some(Reply::Busy { after_ms: wait.parse().ok()? });
     }
     let reason = line.strip_prefix("-ERR ")?;
-    if reason == FAILED {
-        Some(Reply::Failed)
-    } else {
-        Some(Reply::Wrong(reason.to_owned().into()))
-    }
+    if reason == FAILED { Some(Reply::Failed) } else { Some(Reply::Wrong(reason.to_owned().into())) }
 }
 
 /// The reason in [`Reply::Failed`]'s line.
--- a/crates/sender/src/clients.rs
+++ b/crates/sender/src/clients.rs
@@ -1,9 +1,14 @@
 //! The clients' side: a server of RESP2 commands.
 
 use crate::input::Input;
+use crate::placement::figures::count;
+use crate::placement::forward::Forwarder;
+use crate::placement::{Destination, Placement, clock};
 use crate::standing::{Phase, Standing, closing};
 use bytes::{Bytes, BytesMut};
-use embershore_protocol::resp::{BODY_MOST, COMMAND_MOST, Reply, command, put};
+use embershore_placement::DEFAULT_WAIT_MS;
+use embershore_protocol::resp::{BODY_MOST, COMMAND_MOST, Put, Reply, command, put};
+use heronroute::Micros;
 use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -46,6 +51,14 @@
     Now(String),
     Ready,
     Later(oneshot::Receiver<Reply>, OwnedSemaphorePermit),
+    /// An owner gives it, whether or not the client still sends: what it has taken on can't be withdrawn.
+    Forwarded(oneshot::Receiver<Reply>, OwnedSemaphorePermit),
+}
+
+impl Answer {
+    fn busy(after_ms: u64) -> Self {
+        Answer::Now(Reply::Busy { after_ms }.line())
+    }
 }
 
 /// What clients' connections may hold together.
@@ -59,15 +72,82 @@
     pub bodies: usize,
 }
 
+impl Bounds {
+    /// Half of them: where clients and other members come in at two addresses.
+    pub fn halved(self) -> Self {
+        Bounds { places: (self.places / 2).max(1), buffers: self.buffers / 2, bodies: self.bodies / 2 }
+    }
+}
+
 /// What two processes of one sender have to know while both run.
 #[derive(Clone, Default)]
 pub struct Shared {
     /// Clients' connections of this process.
     pub connections: Rc<Cell<usize>>,
+    /// Other members' connections of this process, at its forward address.
+    pub forwarding: Rc<Cell<usize>>,
     /// Descriptors are shared with the process that this one replaces.
     pub by_two: Rc<Cell<bool>>,
 }
 
+impl Shared {
+    /// All connections on which messages come in.
+    pub fn open_connections(&self) -> usize {
+        self.connections.get() + self.forwarding.get()
+    }
+}
+
+/// Who connects, and what becomes of the messages that come in.
+#[derive(Clone)]
+pub enum Entrance {
+    /// Clients, where this sender takes all messages itself.
+    Clients,
+    /// Clients, where other members own some destinations: their messages are forwarded.
+    Routed(Rc<Placement>, Rc<Forwarder>),
+    /// Other members: what they forward is served or refused, and never forwarded again.
+    Members(Rc<Placement>),
+}
+
+impl Entrance {
+    fn route(&self, put: &Put) -> Destination {
+        match self {
+            Entrance::Routed(placement, _) => placement.route(put),
+            Entrance::Clients | Entrance::Members(_) => Destination::Here,
+        }
+    }
+
+    /// When a message was read, by the clock that its forwarding goes by.
+    fn clock(&self) -> Micros {
+        match self {
+            Entrance::Routed(..) => clock::now(),
+            Entrance::Clients | Entrance::Members(_) => 0,
+        }
+    }
+
+    /// Where its connections are counted.
+    fn connections(&self, shared: &Shared) -> Rc<Cell<usize>> {
+        match self {
+            Entrance::Clients | Entrance::Routed(..) => shared.connections.clone(),
+            Entrance::Members(_) => shared.forwarding.clone(),
+        }
+    }
+
+    /// Counts what has been answered.
+    fn answered(&self, reply: &Reply) {
+        if let (Entrance::Members(placement), Reply::Taken) = (self, reply) {
+            count(&placement.counters.taken_for_others);
+        }
+    }
+
+    /// What one is told for whom there is no place. A member goes on to the next owner.
+    fn no_place(&self) -> &'static [u8] {
+        match self {
+            Entrance::Clients | Entrance::Routed(..) => b"-ERR max number of clients reached\r\n",
+            Entrance::Members(_) => b"-BUSY\r\n",
+        }
+    }
+}
+
 /// A connection's place, as others see it.
 struct Place {
     /// A request of it has been answered. Those that have asked nothing yet give way first.
@@ -156,6 +236,7 @@
     long: Option<OwnedSemaphorePermit>,
     driver: mpsc::Sender<Input>,
     standing: watch::Receiver<Standing>,
+    entrance: Entrance,
     seat: Seat,
 }
 
@@ -274,28 +355,40 @@
         match name.as_slice() {
             b"PING" => Answer::Ready,
             b"MSG.PUT" => match put(args) {
-                Ok(put) => {
-                    let bytes = (put.body.len() + PUT_OVERHEAD) as u32;
-                    let bodies = self.seat.places.bodies.clone();
-                    let (reply, answer) = oneshot::channel();
-                    // The semaphore is never closed, and the driver ends with the process only.
-                    let counted = bodies.acquire_many_owned(bytes).await.ok();
-                    match (counted, self.driver.send(Input::Put(put, reply)).await) {
-                        (Some(counted), Ok(())) => Answer::Later(answer, counted),
-                        _ => Answer::Now("-BUSY\r\n".into()),
-                    }
-                }
+                Ok(put) => self.hand_in(put).await,
                 Err(e) => Answer::Now(format!("-ERR {e}\r\n")),
             },
             _ => Answer::Now("-ERR unknown command\r\n".into()),
         }
     }
 
+    /// Hands a message to whoever decides over it.
+    async fn hand_in(&mut self, put: Put) -> Answer {
+        let read_at = self.entrance.clock();
+        let route = self.entrance.route(&put);
+        let bytes = (put.body.len() + PUT_OVERHEAD) as u32;
+        let bodies = self.seat.places.bodies.clone();
+        let (reply, answer) = oneshot::channel();
+        // The semaphore is never closed, and the driver ends with the process only.
+        let Ok(counted) = bodies.acquire_many_owned(bytes).await else { return Answer::busy(0) };
+        match (route, &self.entrance) {
+            (Destination::Forward(to), Entrance::Routed(_, forwarder)) => {
+                forwarder.start(put, to, read_at, reply);
+                Answer::Forwarded(answer, counted)
+            }
+            (Destination::Nowhere, _) => Answer::busy(DEFAULT_WAIT_MS),
+            _ => match self.driver.send(Input::Put(put, reply)).await {
+                Ok(()) => Answer::Later(answer, counted),
+                Err(_) => Answer::busy(0),
+            },
+        }
+    }
+
     /// The answer's text; nothing once the connection is broken. Dropping the driver's channel tells it so. A client
     /// that has ended its sending may have left, or still read: what is not taken on yet is withdrawn and refused, which
     /// does no harm either way, and what was taken on before is told.
     async fn wait(&mut self, answer: Answer) -> Option<String> {
-        let (mut answer, _counted) = match answer {
+        let (mut answer, _counted, stays) = match answer {
             Answer::Now(text) => return Some(text),
             Answer::Ready => {
                 let standing = self.standing.wait_for(|s| s.phase() != Phase::Starting).await.ok()?;
@@ -303,7 +396,8 @@
                     if standing.ready() { "+PONG\r\n" } else { "-ERR the sender takes no clients now\r\n" };
                 return Some(answer.into());
             }
-            Answer::Later(answer, counted) => (answer, counted),
+            Answer::Later(answer, counted) => (answer, counted, false),
+            Answer::Forwarded(answer, counted) => (answer, counted, true),
         };
         while !self.ended {
             let room = self.buf.len() < USUAL_MOST;
@@ -312,11 +406,19 @@
             }
             tokio::select! {
                 biased;
-                reply = &mut answer => return Some(reply.unwrap_or(Reply::Busy { after_ms: 0 }).line()),
+                reply = &mut answer => return Some(self.line_of(reply.ok())),
                 n = self.socket.read_buf(&mut self.buf), if room => self.ended = n.ok()? == 0,
             }
         }
-        Some(answer.try_recv().unwrap_or(Reply::Busy { after_ms: 0 }).line())
+        let reply = if stays { answer.await.ok() } else { answer.try_recv().ok() };
+        Some(self.line_of(reply))
+    }
+
+    /// What is written for a reply; without one the message was not taken on.
+    fn line_of(&self, reply: Option<Reply>) -> String {
+        let reply = reply.unwrap_or(Reply::Busy { after_ms: 0 });
+        self.entrance.answered(&reply);
+        reply.line()
     }
 }
 
@@ -328,9 +430,10 @@
     driver: mpsc::Sender<Input>,
     standing: watch::Receiver<Standing>,
     shared: Shared,
+    entrance: Entrance,
 ) {
     let places = Rc::new(Places {
-        open: shared.connections,
+        open: entrance.connections(&shared),
         taken: RefCell::default(),
         left: Notify::new(),
         buffers: Arc::new(Semaphore::new(bounds.buffers.max(COMMAND_MOST))),
@@ -357,7 +460,7 @@
         };
         let most = if shared.by_two.get() { bounds.places.div_ceil(2) } else { bounds.places };
         if !places.make_room(most).await {
-            _ = socket.try_write(b"-ERR max number of clients reached\r\n");
+            _ = socket.try_write(entrance.no_place());
             _ = socket.shutdown().await;
             continue;
         }
@@ -370,7 +473,9 @@
         places.open.set(places.taken.borrow().len());
         let seat = Seat { places: places.clone(), number, place: place.clone() };
         let (buf, driver, standing) = (BytesMut::new(), driver.clone(), standing.clone());
-        let client = Client { socket, buf, begun: now, ended: false, long: None, driver, standing, seat };
+        let entrance = entrance.clone();
+        let client =
+            Client { socket, buf, begun: now, ended: false, long: None, driver, standing, entrance, seat };
         let task = tokio::task::spawn_local(async move {
             // A client that breaks off is no fault of the sender's.
             _ = client.serve().await;
--- a/crates/sender/src/daemon.rs
+++ b/crates/sender/src/daemon.rs
@@ -1,17 +1,23 @@
 //! The daemon: reads its configuration, puts its parts together and runs them.
 
 use crate::asking::Asking;
+use crate::clients::Entrance;
 use crate::clock::Clock;
 use crate::driver::{Driver, Handing, Known, Parts};
 use crate::figures::Figures;
 use crate::input::Input;
+use crate::placement::Placement;
+use crate::placement::follow::Follower;
+use crate::placement::forward::Forwarder;
 use crate::standing::{Change, Standings};
 use crate::{calls, clients, discovery, fleet, handover, inherited, journal, mgmt, notices, retune};
 use embershore_options::{Options, OptionsError};
 use embershore_owed::ClassFacts;
+use embershore_placement::MAX_REPLICAS;
+use embershore_placement::options::PlacementOptions;
 use embershore_protocol::listing::Listing;
 use embershore_protocol::settings::{ProfileData, place};
-use heronroute::{ClassSettings, SettingsError};
+use heronroute::{ClassSettings, MsgId, SettingsError};
 use serde::Deserialize;
 use serde_json::Value;
 use std::cell::RefCell;
@@ -44,6 +50,14 @@
 /// Descriptors of the operators' door: its callers, one more that is let in as the first gives way, the listener.
 const DOOR_FILES: usize = mgmt::CALLERS_MOST + 2;
 
+/// Descriptors of placement beside connections to other members: the listener for them, the connection to a control agent,
+/// and the file that is written.
+const PLACEMENT_FILES: usize = 3;
+/// How long a start waits for the member list, ...
+const MEMBERS_WAIT: Duration = Duration::from_secs(2);
+/// ... and how often it looks whether the address is free at which the process before this one takes forwarded messages.
+const FORWARD_ADDRESS_LOOK: Duration = Duration::from_millis(50);
+
 #[derive(Deserialize)]
 pub(crate) struct Config {
     listen: SocketAddr,
@@ -91,10 +105,11 @@
         clients::Bounds { places: (self.sockets / 3).max(1), buffers: eighth, bodies: eighth }
     }
 
-    /// Idle connections to endpoints: what clients, calls, probes and the sender's own files leave.
-    fn idle(&self, slots: usize, door: bool) -> usize {
+    /// Idle connections to endpoints: what clients, calls, probes, other members and the sender's own files leave.
+    fn idle(&self, slots: usize, door: bool, placement: Option<&PlacementOptions>) -> usize {
         let door = if door { DOOR_FILES } else { 0 };
-        let others = self.clients().places + slots + calls::PROBES_MOST + OWN_FILES + door;
+        let members = placement.map_or(0, |options| options.owner_connections + PLACEMENT_FILES);
+        let others = self.clients().places + slots + calls::PROBES_MOST + OWN_FILES + door + members;
         self.sockets.saturating_sub(others)
     }
 }
@@ -232,6 +247,48 @@
     }
 }
 
+/// The destinations of all messages that an earlier run left are kept, whoever owns them by now.
+fn hold_destinations(placement: &Placement, journal: &journal::Journal) {
+    for (id, entry) in journal.entries() {
+        if entry.progress.end.is_none() {
+            placement.hold(MsgId(id), entry.accepted.dest);
+        }
+    }
+}
+
+/// Waits for the member list, but not for ever: what an earlier run left is delivered without it.
+async fn wait_for_members(placement: &Placement) {
+    let begun = tokio::time::Instant::now();
+    while placement.epoch().is_none() && begun.elapsed() < MEMBERS_WAIT {
+        tokio::time::sleep(LIST_LOOK).await;
+    }
+    if placement.epoch().is_none() {
+        eprintln!(
+            "placement: no member list after {MEMBERS_WAIT:?}; starting without: nothing new is taken on, and limits are \
+             shared among {MAX_REPLICAS} owners until the next start"
+        );
+    }
+}
+
+/// The part of a list that this sender keeps.
+fn kept_of(mut list: Listing, placement: Option<&Placement>) -> Listing {
+    if let Some(placement) = placement {
+        list.endpoints.retain(|line| placement.keeps(line.group));
+        placement.scale_limits(&mut list);
+    }
+    list
+}
+
+/// Listens at an address as soon as the process before this one has left it.
+async fn free_listener(address: SocketAddr) -> TcpListener {
+    loop {
+        match TcpListener::bind(address).await {
+            Ok(listener) => return listener,
+            Err(_) => tokio::time::sleep(FORWARD_ADDRESS_LOOK).await,
+        }
+    }
+}
+
 async fn serve(options_file: Option<PathBuf>) -> Result<(), Box<dyn Error>> {
     let inherited = inherited::listener()?;
     // Before anything is awaited: by default either signal ends the process.
@@ -246,10 +303,9 @@
     let mut settings = config.settings.settings();
     settings.validate().map_err(|e| format!("{}: {}", path.display(), in_the_file(&e)))?;
     let options = operator_options(options_file, &class_facts(names.classes.clone(), &settings.classes))?;
-    if options.placement.is_some() {
-        return Err("[placement] can be checked, but not switched on yet: leave the section out".into());
-    }
     let state = PathBuf::from(var("LB_STATE")?);
+    let placement =
+        options.placement.map(|section| Rc::new(Placement::new(section, &names.classes, &settings, &state)));
     let open_journal = || {
         journal::Journal::open(&state, (config.limits.disk_mb * 1e6) as u64)
             .map_err(|e| format!("journal in {}: {e}", state.display()))
@@ -262,6 +318,15 @@
         }
         Some(socket) => Way::Held(socket),
     };
+    let forward_listener = match (&placement, &way) {
+        (Some(placement), Way::Alone(journal, _)) => {
+            hold_destinations(placement, journal);
+            let address = placement.options.listen;
+            let bound = TcpListener::bind(address).await;
+            Some(bound.map_err(|e| format!("placement: listen on {address}: {e}"))?)
+        }
+        _ => None,
+    };
 
     // The module is to know for how long a connection really is kept: it takes the one that has rested longest.
     settings.idle_close = (settings.idle_close.max(0) as f64 * calls::KEPT_PART) as i64;
@@ -274,7 +339,7 @@
         figures.clone(),
         Duration::from_micros(settings.idle_close as u64),
         Duration::from_micros(connect_timeout as u64),
-        config.limits.idle(settings.slots as usize, mgmt.is_some()),
+        config.limits.idle(settings.slots as usize, mgmt.is_some(), placement.as_ref().map(|p| &p.options)),
         shared.by_two.clone(),
     );
     let (inputs, inbox) = mpsc::channel(INPUTS_MOST);
@@ -290,15 +355,28 @@
     // Where many senders take turns in asking, the list that was given must do at first.
     let list_wait = if asking.is_dear() { Duration::ZERO } else { LIST_WAIT };
     if let Some(addr) = mgmt {
-        let door =
-            mgmt::Door { standings: standings.clone(), figures: figures.clone(), fleet: fleet.clone() };
+        let door = mgmt::Door {
+            standings: standings.clone(),
+            figures: figures.clone(),
+            fleet: fleet.clone(),
+            placement: placement.clone(),
+        };
         let listener =
             TcpListener::bind(addr).await.map_err(|e| format!("operators' door on {addr}: {e}"))?;
         tokio::task::spawn_local(mgmt::serve(listener, door));
     }
+    if let Some(placement) = &placement {
+        let (placement, fleet, inputs) = (placement.clone(), fleet.clone(), inputs.clone());
+        tokio::task::spawn_local(Follower { placement, fleet, inputs }.run());
+    }
+    if let Some(placement) = &placement {
+        wait_for_members(placement).await;
+        // The module shares a destination's limit among its owners.
+        settings.senders = placement.settle_sharers();
+    }
     // A newcomer hears discovery long before it has the journal. What it is told must not be overwritten later by the
     // older list that it was given.
-    let known = Known::given(config.known);
+    let known = Known::given(config.known.map(|list| kept_of(list, placement.as_deref())));
     let taken = match &known {
         Known::Listed(list) if matches!(way, Way::Held(_)) => {
             Some(fleet.borrow_mut().apply(&Listing { snapshot: true, ..list.clone() }))
@@ -306,7 +384,14 @@
         _ => None,
     };
     let follow = follow_discovery.clone();
-    tokio::task::spawn_local(discovery::follow(follow, index, asking, fleet.clone(), inputs.clone()));
+    tokio::task::spawn_local(discovery::follow(
+        follow,
+        index,
+        asking,
+        fleet.clone(),
+        inputs.clone(),
+        placement.clone(),
+    ));
     tokio::task::spawn_local(notices::send(follow_discovery, queue, inputs.clone()));
     let to = Reload { path, running, discovery, figures: figures.clone(), inputs: inputs.clone() };
     tokio::task::spawn_local(reload(to, hang_up));
@@ -328,6 +413,10 @@
             let taken = taken.map_err(|e| format!("lock in {}: {e}", state.display()))?;
             let Some(handover::Taken { lock, former }) = taken else { return Ok(()) };
             let journal = open_journal()?;
+            if let Some(placement) = &placement {
+                hold_destinations(placement, &journal);
+                placement.want_held_destinations();
+            }
             let (asked, newcomers) = mpsc::channel(1);
             let door = lock.listen().map_err(|e| format!("socket in {}: {e}", state.display()))?;
             tokio::task::spawn_local(handover::await_newcomers(door, asked));
@@ -349,9 +438,37 @@
         figures,
         shared: shared.clone(),
         handing,
+        placement: placement.clone(),
     })?;
-    let bounds = config.limits.clients();
-    tokio::task::spawn_local(clients::serve(listener, bounds, inputs, standings.follow(), shared));
+    let clients = config.limits.clients();
+    match placement {
+        None => {
+            let entrance = Entrance::Clients;
+            let serving = clients::serve(listener, clients, inputs, standings.follow(), shared, entrance);
+            tokio::task::spawn_local(serving);
+        }
+        Some(placement) => {
+            let bounds = clients.halved();
+            let entrance = Entrance::Routed(placement.clone(), Forwarder::new(placement.clone()));
+            let (driver, standing) = (inputs.clone(), standings.follow());
+            tokio::task::spawn_local(clients::serve(
+                listener,
+                bounds,
+                driver,
+                standing,
+                shared.clone(),
+                entrance,
+            ));
+            tokio::task::spawn_local(async move {
+                let listener = match forward_listener {
+                    Some(listener) => listener,
+                    None => free_listener(placement.options.listen).await,
+                };
+                let entrance = Entrance::Members(placement);
+                clients::serve(listener, bounds, inputs, standings.follow(), shared, entrance).await;
+            });
+        }
+    }
     // With no word of discovery's yet the list is taken over once more, less what the journal knows to drain.
     let known = match taken {
         Some(entries) if !inbox.is_empty() => Known::Taken(entries),
--- a/crates/sender/src/discovery.rs
+++ b/crates/sender/src/discovery.rs
@@ -4,8 +4,10 @@
 use crate::connection::Connection;
 use crate::fleet::Fleet;
 use crate::input::Input;
+use crate::placement::Placement;
+use crate::placement::reader::ListReader;
 use bytes::Bytes;
-use embershore_protocol::listing::{Flaw, Listing, Listings};
+use embershore_protocol::listing::{Flaw, Listing};
 use http_body_util::{BodyExt, Full};
 use hyper::Request;
 use hyper::body::Incoming;
@@ -25,6 +27,8 @@
 /// Where asking costs it work, a question may stand in line that long before its answer says whether it succeeded.
 const ANSWER_TIME_DEAR: Duration = Duration::from_secs(4);
 const LINE_MOST: usize = 4 << 20;
+/// A list of which a part is kept may be long; it has been read by then.
+const KEPT_LIST_TIME: Duration = Duration::from_secs(60);
 
 /// Follows the list for ever. The fleet is changed as soon as a line is read, so that a drain stops calls that
 /// have not begun; the driver is told of it in order. When discovery's address changes, the new one is asked at
@@ -37,15 +41,21 @@
     mut asking: Asking,
     fleet: Rc<RefCell<Fleet>>,
     driver: mpsc::Sender<Input>,
+    placement: Option<Rc<Placement>>,
 ) {
+    let told = Told { fleet, driver, placement };
     let mut pause = if index.is_some() { asking.together() } else { Duration::ZERO };
     loop {
         let (at, before) = (*addr.borrow_and_update(), index);
         let dear = asking.is_dear();
+        let spread = told.placement.as_ref().map_or(Duration::ZERO, |_| asking.together());
         let work = async {
             tokio::time::sleep(pause).await;
             let (begun, mut opened) = (Instant::now(), false);
-            let ended = watch(at, &mut index, dear, &mut opened, &fleet, &driver).await;
+            let ended = watch(at, &mut index, dear, &mut opened, &told, spread).await;
+            if matches!(ended, Ok(Ended::ListWanted)) {
+                return End::ListWanted;
+            }
             let silent = ended.as_ref().is_err_and(|e| opened && e.kind() == io::ErrorKind::TimedOut);
             if let Err(e) = ended {
                 eprintln!("discovery: {e}");
@@ -70,6 +80,7 @@
             end = work => pause = match end {
                 End::Silent => asking.silent(),
                 End::Well => asking.ended(),
+                End::ListWanted => Duration::ZERO,
                 End::Failed => asking.failed(),
             },
         }
@@ -83,19 +94,83 @@
     /// It was of use first.
     Well,
     Failed,
+    /// The whole list is asked for again, of which another part is kept from now on.
+    ListWanted,
+}
+
+/// Where a watch ended that did not fail.
+enum Ended {
+    /// With its connection.
+    Connection,
+    /// Where the whole list was wanted.
+    ListWanted,
+}
+
+/// Where lists go.
+struct Told {
+    fleet: Rc<RefCell<Fleet>>,
+    driver: mpsc::Sender<Input>,
+    /// Which part of a list is kept, where it is not all of it.
+    placement: Option<Rc<Placement>>,
+}
+
+impl Told {
+    /// Changes the fleet and tells the driver.
+    async fn tell(&self, listing: Listing) -> io::Result<()> {
+        // The place comes first: a new address may end the wait for it, and the fleet must not know what the driver has
+        // not been told.
+        let place = self.driver.reserve().await.map_err(io::Error::other)?;
+        let entries = self.fleet.borrow_mut().apply(&listing);
+        place.send(Input::Members { index: listing.index, whole: listing.snapshot, entries });
+        if let Some(placement) = &self.placement {
+            placement.endpoint_list.set_version(listing.index);
+        }
+        Ok(())
+    }
+
+    /// The number of the last reading of the whole list that was asked for.
+    fn wanted(&self) -> u64 {
+        self.placement.as_ref().map_or(0, |placement| placement.endpoint_list.wanted())
+    }
+
+    fn is_wanted(&self) -> bool {
+        self.placement.as_ref().is_some_and(|placement| placement.endpoint_list.is_wanted())
+    }
+
+    fn done(&self, wanted: u64) {
+        if let Some(placement) = &self.placement {
+            placement.endpoint_list.done(wanted);
+        }
+    }
+
+    /// Waits until the whole list is to be read again; `spread` keeps many senders that gain at once from asking at once.
+    async fn until_wanted(&self, spread: Duration) {
+        match &self.placement {
+            Some(placement) => {
+                placement.endpoint_list.until_wanted().await;
+                tokio::time::sleep(spread).await;
+            }
+            None => std::future::pending().await,
+        }
+    }
 }
 
 /// Lists of endpoints as they are told.
 struct Lines {
     connection: Connection,
     body: Incoming,
-    listings: Listings,
+    listings: ListReader,
     /// Since when nothing whole has come.
     since: Instant,
 }
 
 impl Lines {
-    async fn ask(mut connection: Connection, path: &str, dear: bool) -> io::Result<Lines> {
+    async fn ask(
+        mut connection: Connection,
+        path: &str,
+        dear: bool,
+        placement: Option<&Rc<Placement>>,
+    ) -> io::Result<Lines> {
         let addr = connection.addr().to_string();
         let request = Request::get(path).header("host", addr).body(Full::new(Bytes::new()));
         let answer = connection.send(request.map_err(io::Error::other)?);
@@ -108,7 +183,7 @@
             let kind = if busy { io::ErrorKind::ResourceBusy } else { io::ErrorKind::Other };
             return Err(io::Error::new(kind, format!("status {status}")));
         }
-        let (body, listings) = (response.into_body(), Listings::default());
+        let (body, listings) = (response.into_body(), ListReader::new(placement));
         Ok(Lines { connection, body, listings, since: Instant::now() })
     }
 
@@ -123,7 +198,36 @@
     }
 
     /// All of it as one list.
-    async fn whole(mut self) -> io::Result<Listing> {
+    async fn whole(self) -> io::Result<Listing> {
+        match self.listings {
+            ListReader::All(_) => self.whole_text().await,
+            ListReader::Kept(..) => {
+                let kept = tokio::time::timeout(KEPT_LIST_TIME, self.whole_kept());
+                kept.await.map_err(silent)?
+            }
+        }
+    }
+
+    /// The part of one list that is kept, however long all of it is. It may take longer than what comes at once, as long as
+    /// more of it comes.
+    async fn whole_kept(mut self) -> io::Result<Listing> {
+        let mut whole = None;
+        loop {
+            while let Some(list) = self.listings.next_whole().map_err(flawed)? {
+                if whole.replace(list).is_some() {
+                    return Err(io::Error::new(io::ErrorKind::InvalidData, "two lists where one is due"));
+                }
+            }
+            within_bounds(self.listings.held())?;
+            let Some(bytes) = self.read().await? else { break };
+            self.since = Instant::now();
+            self.listings.extend(&bytes);
+        }
+        whole
+            .ok_or_else(|| io::Error::new(io::ErrorKind::UnexpectedEof, "the list ended before it was whole"))
+    }
+
+    async fn whole_text(mut self) -> io::Result<Listing> {
         let mut text = Vec::new();
         while let Some(bytes) = self.read().await? {
             text.extend_from_slice(&bytes);
@@ -142,7 +246,7 @@
             if !self.listings.is_within() {
                 self.since = Instant::now();
             }
-            within_bounds(self.listings.kept())?;
+            within_bounds(self.listings.held())?;
             let Some(bytes) = self.read().await? else { return Ok(None) };
             self.listings.extend(&bytes);
         }
@@ -168,30 +272,25 @@
     index: &mut Option<u64>,
     dear: bool,
     opened: &mut bool,
-    fleet: &RefCell<Fleet>,
-    driver: &mpsc::Sender<Input>,
-) -> io::Result<()> {
-    // The place comes first: a new address may end the wait for it, and the fleet must not know what the driver has
-    // not been told.
-    let tell = async |listing: Listing| {
-        let place = driver.reserve().await.map_err(io::Error::other)?;
-        let entries = fleet.borrow_mut().apply(&listing);
-        place.send(Input::Members { index: listing.index, whole: listing.snapshot, entries });
-        Ok::<(), io::Error>(())
-    };
+    told: &Told,
+    spread: Duration,
+) -> io::Result<Ended> {
+    let placement = told.placement.as_ref();
     let open = async || tokio::time::timeout(ANSWER_TIME, Connection::open(addr)).await.map_err(silent)?;
-    let since = match *index {
+    let since = match index.filter(|_| !told.is_wanted()) {
         Some(since) => since,
         None => {
-            let list = Lines::ask(open().await?, "/v1/servers", dear).await?.whole().await?;
+            let wanted = told.wanted();
+            let list = Lines::ask(open().await?, "/v1/servers", dear, placement).await?.whole().await?;
             let since = list.index;
-            tell(Listing { snapshot: true, ..list }).await?;
+            told.tell(Listing { snapshot: true, ..list }).await?;
+            told.done(wanted);
             *index = Some(since);
             since
         }
     };
     let path = format!("/v1/servers?follow=1&since={since}");
-    let mut lines = match Lines::ask(open().await?, &path, dear).await {
+    let mut lines = match Lines::ask(open().await?, &path, dear, placement).await {
         Ok(lines) => lines,
         Err(e) => {
             // A version that it does not know must not be asked for again and again. Turned away, it has not
@@ -206,16 +305,21 @@
     // The same for one after which it says nothing, unless it may only have had no time for it.
     *index = index.filter(|_| dear);
     let mut known = since;
-    while let Some(list) = lines.next().await.inspect_err(|e| {
-        *index = index.filter(|_| e.kind() != io::ErrorKind::InvalidData);
-    })? {
+    let mut list_wanted = std::pin::pin!(told.until_wanted(spread));
+    loop {
+        let next = tokio::select! {
+            biased;
+            next = lines.next() => next,
+            () = &mut list_wanted => return Ok(Ended::ListWanted),
+        };
+        let next = next.inspect_err(|e| *index = index.filter(|_| e.kind() != io::ErrorKind::InvalidData));
+        let Some(list) = next? else { return Ok(Ended::Connection) };
         if list.index < known && !list.snapshot {
             *index = None;
             return Err(io::Error::other(format!("version {known} was asked for, {} told", list.index)));
         }
         known = list.index;
-        tell(list).await?;
+        told.tell(list).await?;
         *index = Some(known);
     }
-    Ok(())
 }
--- a/crates/sender/src/driver.rs
+++ b/crates/sender/src/driver.rs
@@ -15,6 +15,7 @@
 use crate::fleet::{Endpoint, Fleet};
 use crate::input::{Ended, Input, Notice};
 use crate::journal::{Accepted, Journal};
+use crate::placement::Placement;
 use crate::rows::Rows;
 use crate::standing::{Change, Standings};
 use embershore_handover::Frame;
@@ -43,6 +44,8 @@
 const RETIRE_EVERY: Micros = 500_000;
 /// What time a message has left is known only in the round that it comes into: see [`Driver::bring_up_to_date`].
 const AS_OF_THE_ROUND: Micros = 0;
+/// What a client is told of a destination that is in no list.
+const UNKNOWN_DESTINATION: &str = "unknown destination";
 
 /// What a message needs while it is held, beside its journal entry.
 #[derive(Default)]
@@ -78,6 +81,8 @@
     pub figures: Rc<Figures>,
     pub shared: Shared,
     pub handing: Option<Handing>,
+    /// Where other senders own some of the destinations.
+    pub placement: Option<Rc<Placement>>,
 }
 
 pub struct Driver {
@@ -101,6 +106,7 @@
     figures: Rc<Figures>,
     shared: Shared,
     handing: Option<Handing>,
+    placement: Option<Rc<Placement>>,
     former: Option<Former>,
     events: Vec<Event>,
     newcomers: BTreeMap<MsgId, Newcomer>,
@@ -118,7 +124,7 @@
     pub fn new(parts: Parts) -> Result<Self, heronroute::SettingsError> {
         let Parts { clock, seed, list_wait, settings, names, journal, fleet, calls, notices, inputs, .. } =
             parts;
-        let Parts { standings, figures, shared, handing, .. } = parts;
+        let Parts { standings, figures, shared, handing, placement, .. } = parts;
         figures.name_classes(&names.classes);
         let (kinds, quantum, max_open) =
             (settings.kinds.clone(), settings.quantum, settings.max_open as usize);
@@ -143,6 +149,7 @@
             figures,
             shared,
             handing,
+            placement,
             former: None,
             events: Vec::new(),
             newcomers: BTreeMap::new(),
@@ -221,6 +228,9 @@
             }
             Input::Retuned(classes) => {
                 self.figures.name_classes(classes.iter().map(|(name, _)| name));
+                if let Some(placement) = &self.placement {
+                    placement.take_classes(classes.iter().map(|(name, class)| (name, class)));
+                }
                 self.rows.retune(classes, self.clock.now());
                 self.events.push(Event::Classes(self.rows.classes()));
             }
@@ -263,8 +273,18 @@
             _ = reply.send(Reply::Busy { after_ms: self.come_again_ms });
             return;
         }
+        if let Some(after_ms) = self.placement.as_ref().and_then(|placement| placement.refuses(&put)) {
+            self.figures.count(&put.class, Ending::Refused);
+            _ = reply.send(Reply::Busy { after_ms });
+            return;
+        }
         let class = match self.row_for(&put) {
             Ok(row) => row,
+            Err(why) if why == UNKNOWN_DESTINATION && self.awaits_endpoints() => {
+                self.figures.count(&put.class, Ending::Refused);
+                _ = reply.send(Reply::Busy { after_ms: self.come_again_ms });
+                return;
+            }
             Err(why) => {
                 self.figures.count(&put.class, Ending::Wrong);
                 _ = reply.send(Reply::Wrong(why.into()));
@@ -284,10 +304,23 @@
         self.by_request.insert(put.request_id.clone(), id);
         self.rows.enter(class);
         self.live.insert(id, Live { row: class, ..Live::default() });
+        self.hold_destination(id, put.dest);
         let deadline = self.clock.now() + put.time_left;
         self.newcomers.insert(id, Newcomer { put, deadline, reply });
     }
 
+    /// A destination that is not in the list of endpoints may only not have been read yet.
+    fn awaits_endpoints(&self) -> bool {
+        self.placement.as_ref().is_some_and(|placement| placement.awaits_endpoints())
+    }
+
+    /// The destination is kept for as long as the message is held, whoever owns it.
+    fn hold_destination(&self, id: MsgId, dest: i64) {
+        if let Some(placement) = &self.placement {
+            placement.hold(id, dest);
+        }
+    }
+
     /// The rules for this message, or why no sender could take it on.
     fn row_for(&self, put: &Put) -> Result<usize, &'static str> {
         let row = self.rows.newest(&put.class, self.clock.now()).ok_or("unknown class")?;
@@ -299,7 +332,7 @@
             // The time is told in whole milliseconds.
             Err("field 'd' is more than the class's time")
         } else if !self.fleet.borrow().knows(DestId(put.dest)) {
-            Err("unknown destination")
+            Err(UNKNOWN_DESTINATION)
         } else if class.effect == Effect::Guarded && put.idempotency_key.is_none() {
             Err("field 'k' is missing in a keyed class")
         } else {
@@ -338,6 +371,9 @@
     /// The message is held no more. False if it was not.
     fn drop_live(&mut self, id: MsgId) -> bool {
         let live = self.live.remove(&id);
+        if let Some(placement) = &self.placement {
+            placement.release(id);
+        }
         if let Some(live) = &live {
             self.rows.leave(live.row);
         }
--- a/crates/sender/src/driver/replace.rs
+++ b/crates/sender/src/driver/replace.rs
@@ -202,7 +202,7 @@
                 },
                 _ = tokio::time::sleep(LOOK_EVERY) => {}
             }
-            let idle = self.out.is_empty() && self.shared.connections.get() == 0;
+            let idle = self.out.is_empty() && self.shared.open_connections() == 0;
             let late = self.stopping.is_some_and(|at| self.clock.now() - at >= EXIT_AFTER);
             if idle || late {
                 break;
--- a/crates/sender/src/driver/start.rs
+++ b/crates/sender/src/driver/start.rs
@@ -146,6 +146,7 @@
             self.by_request.insert(request_id, MsgId(id));
             self.rows.enter(row);
             self.live.insert(MsgId(id), Live { attempts, call, row });
+            self.hold_destination(MsgId(id), message.dest);
         }
         drop(journal);
         self.figures.name_classes(self.rows.names());
--- a/crates/sender/src/figures.rs
+++ b/crates/sender/src/figures.rs
@@ -1,5 +1,6 @@
 //! What the sender reports of itself: counters from the process's start, and how things stand.
 
+use crate::placement::figures::PlacementFigures;
 use embershore_protocol::notice::End;
 use serde::Serialize;
 use std::cell::{Cell, RefCell};
@@ -61,6 +62,9 @@
     ejected: usize,
     sighup_applied: u64,
     sighup_rejected: u64,
+    /// Only while placement is on.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub placement: Option<PlacementFigures>,
 }
 
 /// The figures as they are kept: the driver counts the ends that it decides, a connection what it has written.
@@ -112,6 +116,7 @@
             ejected: self.ejected.get(),
             sighup_applied: self.applied.get(),
             sighup_rejected: self.rejected.get(),
+            placement: None,
         }
     }
 }
--- a/crates/sender/src/fleet.rs
+++ b/crates/sender/src/fleet.rs
@@ -76,12 +76,7 @@
             listing.endpoints.iter().map(|line| self.take(line, now)).collect();
         if listing.snapshot {
             let named: HashSet<EndpointId> = entries.iter().map(|e| e.endpoint).collect();
-            let present = self.endpoints.iter_mut().filter(|(_, e)| e.listed());
-            entries.extend(present.filter(|(id, _)| !named.contains(id)).map(|(id, e)| {
-                (e.ready, e.gone) = (false, Some(now));
-                let (endpoint, dest, kind, zone) = (*id, e.dest, e.kind, e.zone);
-                EndpointEntry { endpoint, dest, status: Status::Removed, kind, zone, weight: None }
-            }));
+            entries.extend(self.remove(now, |id, _| !named.contains(&id)));
         }
         let kept = |e: &Endpoint| e.gone.is_none_or(|t| now - t < KEEP_GONE);
         self.numbers.retain(|_, id| self.endpoints.get(id).is_some_and(kept));
@@ -96,6 +91,25 @@
         entries
     }
 
+    /// Takes out the endpoints of all destinations that are not kept.
+    pub fn remove_unless(&mut self, keeps: impl Fn(i64) -> bool) -> Vec<EndpointEntry> {
+        self.remove(Instant::now(), |_, endpoint| !keeps(endpoint.dest.0)).collect()
+    }
+
+    /// Counts the listed endpoints that `unwanted` names as gone.
+    fn remove(
+        &mut self,
+        now: Instant,
+        unwanted: impl Fn(EndpointId, &Endpoint) -> bool,
+    ) -> impl Iterator<Item = EndpointEntry> {
+        let present = self.endpoints.iter_mut().filter(|(_, e)| e.listed());
+        present.filter(move |(id, e)| unwanted(**id, e)).map(move |(id, e)| {
+            (e.ready, e.gone) = (false, Some(now));
+            let (endpoint, dest, kind, zone) = (*id, e.dest, e.kind, e.zone);
+            EndpointEntry { endpoint, dest, status: Status::Removed, kind, zone, weight: None }
+        })
+    }
+
     fn take(&mut self, line: &Line, now: Instant) -> EndpointEntry {
         let status = match line.status.as_str() {
             "Ready" => Status::Up,
--- a/crates/sender/src/lib.rs
+++ b/crates/sender/src/lib.rs
@@ -27,6 +27,7 @@
 mod matrix;
 mod mgmt;
 mod notices;
+mod placement;
 mod rehearse;
 mod retune;
 mod rows;
--- a/crates/sender/src/mgmt.rs
+++ b/crates/sender/src/mgmt.rs
@@ -5,6 +5,7 @@
 
 use crate::figures::Figures;
 use crate::fleet::Fleet;
+use crate::placement::Placement;
 use crate::standing::{Change, Phase, Standings};
 use bytes::Bytes;
 use http_body_util::Full;
@@ -37,6 +38,7 @@
     pub standings: Standings,
     pub figures: Rc<Figures>,
     pub fleet: Rc<RefCell<Fleet>>,
+    pub placement: Option<Rc<Placement>>,
 }
 
 impl Door {
@@ -72,7 +74,8 @@
     }
 
     fn vars(&self) -> Response<Full<Bytes>> {
-        let told = self.figures.tell(self.fleet.borrow().listed());
+        let mut told = self.figures.tell(self.fleet.borrow().listed());
+        told.placement = self.placement.as_ref().map(|placement| placement.figures());
         let Ok(mut body) = serde_json::to_vec(&told) else {
             return text(StatusCode::INTERNAL_SERVER_ERROR, "the figures can't be written");
         };
--- /dev/null
+++ b/crates/sender/src/placement/endpoint_list.rs
@@ -0,0 +1,106 @@
+//! When the whole list of endpoints has to be read again: the parts of it that a sender did not own it has not kept.
+
+use embershore_placement::ShardId;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use tokio::sync::watch;
+
+/// Which readings of the whole list were asked for, and which have been done. Readings are numbered from 1; a reading that
+/// began after number n was asked for serves all up to n.
+#[derive(Debug)]
+pub struct EndpointList {
+    wanted: watch::Sender<u64>,
+    done: Cell<u64>,
+    /// Owned shards whose endpoints are not known, with the reading that they wait for. Bounded by the number of shards.
+    unread: RefCell<HashMap<ShardId, u64>>,
+    /// The version that was last told.
+    version: Cell<u64>,
+}
+
+impl Default for EndpointList {
+    fn default() -> Self {
+        EndpointList {
+            wanted: watch::Sender::new(0),
+            done: Cell::new(0),
+            unread: RefCell::default(),
+            version: Cell::new(0),
+        }
+    }
+}
+
+impl EndpointList {
+    /// Asks for another reading, for which these shards wait.
+    pub fn want(&self, shards: impl IntoIterator<Item = ShardId>) {
+        let number = *self.wanted.borrow() + 1;
+        self.unread.borrow_mut().extend(shards.into_iter().map(|shard| (shard, number)));
+        self.wanted.send_replace(number);
+    }
+
+    /// These shards are owned no more.
+    pub fn forget(&self, shards: &[ShardId]) {
+        let mut unread = self.unread.borrow_mut();
+        shards.iter().for_each(|shard| _ = unread.remove(shard));
+    }
+
+    /// The last reading that was asked for.
+    pub fn wanted(&self) -> u64 {
+        *self.wanted.borrow()
+    }
+
+    /// Whether a reading is asked for and not done.
+    pub fn is_wanted(&self) -> bool {
+        self.wanted() > self.done.get()
+    }
+
+    /// Waits until a reading is asked for and not done.
+    pub async fn until_wanted(&self) {
+        let mut follow = self.wanted.subscribe();
+        // The sender is part of this.
+        _ = follow.wait_for(|number| *number > self.done.get()).await;
+    }
+
+    /// A reading has been done that began when this number was the last one asked for.
+    pub fn done(&self, number: u64) {
+        self.done.set(self.done.get().max(number));
+        self.unread.borrow_mut().retain(|_, waits_for| *waits_for > number);
+    }
+
+    /// Whether the endpoints of this shard are known.
+    pub fn is_read(&self, shard: ShardId) -> bool {
+        !self.unread.borrow().contains_key(&shard)
+    }
+
+    /// Owned shards whose endpoints are not known yet.
+    pub fn unread(&self) -> usize {
+        self.unread.borrow().len()
+    }
+
+    /// The version of the list that was last told.
+    pub fn version(&self) -> u64 {
+        self.version.get()
+    }
+
+    /// Notes the version that has been told.
+    pub fn set_version(&self, version: u64) {
+        self.version.set(version);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_shard_waits_for_a_reading_that_began_after_it_was_gained() {
+        let list = EndpointList::default();
+        list.want([ShardId(1)]);
+        let begun_at = list.wanted();
+        list.want([ShardId(2), ShardId(3)]);
+        list.done(begun_at);
+        assert!(list.is_read(ShardId(1)) && !list.is_read(ShardId(2)) && list.is_wanted());
+        list.forget(&[ShardId(3)]);
+        assert_eq!(list.unread(), 1);
+        list.done(list.wanted());
+        assert!(list.is_read(ShardId(2)) && !list.is_wanted());
+    }
+}
--- /dev/null
+++ b/crates/sender/src/placement/follow.rs
@@ -0,0 +1,187 @@
+//! Follows the member list: asks a control agent again and again, and each good answer renews the lease.
+
+use super::figures::count;
+use super::{Placement, clock};
+use crate::connection::Connection;
+use crate::fleet::Fleet;
+use crate::input::Input;
+use bytes::Bytes;
+use embershore_placement::{
+    Answer, Changes, Heard, ListError, MemberList, Placement as MemberPlacement, Placements, Unshared,
+};
+use heronroute::Micros;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::Request;
+use std::cell::RefCell;
+use std::error::Error;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::time::{Instant, sleep_until, timeout};
+
+/// Bytes of an answer at most: a list of all seats that there can be, with 250 bytes each.
+const ANSWER_MOST: usize = 16 << 20;
+/// An agent that has not answered by then is given up; a shorter `ask_every` does not hurry it.
+const ANSWER_TIME_LEAST: Duration = Duration::from_millis(500);
+/// How often endpoints of destinations that are kept no more are looked for.
+const DROP_EVERY: Duration = Duration::from_secs(5);
+
+/// Where news goes.
+pub struct Follower {
+    pub placement: Rc<Placement>,
+    pub fleet: Rc<RefCell<Fleet>>,
+    pub inputs: mpsc::Sender<Input>,
+}
+
+impl Follower {
+    /// Follows the member list for ever.
+    pub async fn run(self) {
+        let every = micros(self.placement.options.ask_every);
+        let mut asking = ControlAgents::new(&self.placement);
+        let mut drop_at = Instant::now() + DROP_EVERY;
+        loop {
+            let next = Instant::now() + every;
+            asking.ask_in_turn(&self.placement).await;
+            self.placement.remember();
+            if Instant::now() >= drop_at {
+                self.drop_endpoints().await;
+                drop_at = Instant::now() + DROP_EVERY;
+            }
+            sleep_until(next).await;
+        }
+    }
+
+    /// Takes endpoints out whose destinations are kept no more.
+    async fn drop_endpoints(&self) {
+        // The place comes first: the fleet must not know what the driver has not been told.
+        let Ok(place) = self.inputs.reserve().await else { return };
+        let keeps = |dest| self.placement.keeps(dest);
+        let entries = self.fleet.borrow_mut().remove_unless(keeps);
+        if !entries.is_empty() {
+            let index = self.placement.endpoint_list.version();
+            place.send(Input::Members { index, whole: false, entries });
+        }
+    }
+}
+
+/// The control agents, asked in turn.
+struct ControlAgents {
+    addresses: Vec<SocketAddr>,
+    /// Which one answered last.
+    current: usize,
+    /// The next question is for the whole list: the last changes did not fit.
+    whole: bool,
+    answer_time: Duration,
+    /// The last failure that was logged; the same one is logged once.
+    logged: Option<String>,
+}
+
+impl ControlAgents {
+    fn new(placement: &Placement) -> Self {
+        let answer_time = micros(placement.options.ask_every).max(ANSWER_TIME_LEAST);
+        let addresses = placement.options.control.clone();
+        ControlAgents { addresses, current: 0, whole: false, answer_time, logged: None }
+    }
+
+    /// Asks the agent that answered last, and the others after it until one answers well.
+    async fn ask_in_turn(&mut self, placement: &Placement) {
+        for _ in 0..self.addresses.len() {
+            match self.ask(placement).await {
+                Ok(heard) => return self.log_success(&heard),
+                Err(e) => self.log_failure(&*e),
+            }
+            self.current = (self.current + 1) % self.addresses.len();
+        }
+    }
+
+    async fn ask(&mut self, placement: &Placement) -> Result<Heard, Box<dyn Error>> {
+        let known = placement.epoch().filter(|_| !self.whole);
+        let asked_at = clock::now();
+        let question = question(self.addresses[self.current], known.unwrap_or(0));
+        let text = timeout(self.answer_time, question).await.map_err(|_| "no answer in time")??;
+        let heard = take_over(placement, asked_at, text).await.inspect_err(|_| {
+            count(&placement.counters.lists_refused);
+        });
+        self.whole = matches!(heard, Err(ListError::SinceMismatch { .. }));
+        Ok(heard?)
+    }
+
+    fn log_success(&mut self, heard: &Heard) {
+        if self.logged.take().is_some() {
+            eprintln!("placement: control answers again, epoch {}", heard.epoch);
+        }
+        if heard.changed {
+            let (gained, lost) = (heard.gained.len(), heard.lost.len());
+            eprintln!("placement: epoch {} is in force, {gained} shards gained, {lost} lost", heard.epoch);
+        }
+    }
+
+    fn log_failure(&mut self, error: &dyn Error) {
+        let line = format!("placement: control agent {}: {error}", self.addresses[self.current]);
+        if self.logged.as_ref() != Some(&line) {
+            eprintln!("{line}; the list in force stays");
+            self.logged = Some(line);
+        }
+    }
+}
+
+/// Asks one agent for what is new since an epoch.
+async fn question(agent: SocketAddr, since: u64) -> Result<Bytes, Box<dyn Error>> {
+    let mut connection = Connection::open(agent).await?;
+    let request = Request::get(format!("/v1/members?since={since}"))
+        .header("host", agent.to_string())
+        .header("connection", "close")
+        .body(Full::new(Bytes::new()))?;
+    let response = connection.send(request).await?;
+    if response.status() != 200 {
+        return Err(format!("status {}", response.status()).into());
+    }
+    let body = Limited::new(response.into_body(), ANSWER_MOST).collect();
+    let body = connection.drive(body).await.map_err(|e| -> Box<dyn Error> { e })?;
+    Ok(body.to_bytes())
+}
+
+/// Takes an answer over. A whole list is read and its table built beside the sender's one thread: it takes the time of many
+/// rounds.
+async fn take_over(placement: &Placement, asked_at: Micros, text: Bytes) -> Result<Heard, ListError> {
+    let current = placement.epoch();
+    let prepared = tokio::task::spawn_blocking(move || prepare(&text, current)).await;
+    let (answer, built) = prepared
+        .unwrap_or_else(|e| Err(ListError::Malformed { reason: format!("reading it failed: {e}") }))?;
+    placement.hear(&mut Prebuilt(built), asked_at, answer)
+}
+
+/// Reads an answer; with the table of a list that is not in force yet.
+fn prepare(text: &[u8], current: Option<u64>) -> Result<(Answer, Option<Arc<MemberPlacement>>), ListError> {
+    let answer = Answer::parse_json(text)?;
+    let built = match &answer {
+        Answer::Whole(list) if current.is_none_or(|epoch| list.epoch() > epoch) => {
+            Some(Arc::new(MemberPlacement::build((**list).clone())))
+        }
+        _ => None,
+    };
+    Ok((answer, built))
+}
+
+/// A placement that was built before the list is taken over.
+struct Prebuilt(Option<Arc<MemberPlacement>>);
+
+impl Placements for Prebuilt {
+    fn build(&mut self, list: MemberList) -> Arc<MemberPlacement> {
+        self.0.take().unwrap_or_else(|| Unshared.build(list))
+    }
+
+    fn apply(
+        &mut self,
+        before: &Arc<MemberPlacement>,
+        changes: &Changes,
+    ) -> Result<Arc<MemberPlacement>, ListError> {
+        Unshared.apply(before, changes)
+    }
+}
+
+fn micros(span: Micros) -> Duration {
+    Duration::from_micros(u64::try_from(span).unwrap_or(0))
+}
--- /dev/null
+++ b/crates/sender/src/placement/forward.rs
@@ -0,0 +1,179 @@
+//! Passes a message on to an owner: what `embershore_placement::Forwarding` decides, over kept connections.
+
+use super::figures::{ForwardedCounters, count};
+use super::pool::{Place, Pool};
+use super::{Forwarded, Placement, clock};
+use bytes::BytesMut;
+use embershore_placement::{Forwarding, Outcome, Step, Verdict};
+use embershore_protocol::resp::{Put, Reply};
+use embershore_protocol::resp_client::{LINE_MOST, decode_reply, encode_put};
+use heronroute::Micros;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::oneshot;
+use tokio::time::{Instant, timeout_at};
+
+/// A client waits 400 ms for its answer; what is left over is for the way there and back.
+const BUDGET: Micros = 300_000;
+
+/// Passes messages on.
+pub struct Forwarder {
+    placement: Rc<Placement>,
+    pool: Rc<Pool>,
+}
+
+/// How long one owner has.
+struct Patience {
+    /// The first byte is written by then.
+    begin_by: Instant,
+    /// The answer has come by then.
+    answer_by: Instant,
+}
+
+impl Forwarder {
+    /// Passes on by what `placement` knows.
+    pub fn new(placement: Rc<Placement>) -> Rc<Self> {
+        let pool = Pool::new(placement.options.owner_connections);
+        Rc::new(Forwarder { placement, pool })
+    }
+
+    /// Passes a message on that was read at `read_at`, and tells `reply` what became of it. When nobody waits for that any
+    /// more the connection is dropped, and an owner that has not taken the message on yet withdraws it.
+    pub fn start(
+        self: &Rc<Self>,
+        put: Put,
+        to: Forwarded,
+        read_at: Micros,
+        mut reply: oneshot::Sender<Reply>,
+    ) {
+        let forwarder = self.clone();
+        // Tasks are bounded by the messages that may be unanswered.
+        tokio::task::spawn_local(async move {
+            tokio::select! {
+                biased;
+                verdict = forwarder.forward(&put, to, read_at) => {
+                    forwarder.count(&verdict);
+                    _ = reply.send(reply_of(verdict));
+                }
+                () = reply.closed() => {}
+            }
+        });
+    }
+
+    async fn forward(&self, put: &Put, to: Forwarded, read_at: Micros) -> Verdict {
+        let mut forwarding = Forwarding::new(to.effect, to.candidates, read_at, BUDGET);
+        let mut step = forwarding.start(clock::now());
+        loop {
+            match step {
+                Step::Answer(verdict) => return verdict,
+                Step::Send { to, begin_within, patience } => {
+                    let outcome = match self.placement.address_of(to) {
+                        Some(owner) => {
+                            self.send(owner, put, read_at, patience_from_now(begin_within, patience)).await
+                        }
+                        None => Outcome::NeverSent,
+                    };
+                    if outcome == Outcome::Unknown {
+                        count(&self.counters().unknown);
+                    }
+                    step = forwarding.outcome(clock::now(), outcome);
+                }
+            }
+        }
+    }
+
+    /// Sends the message to one owner.
+    async fn send(&self, owner: SocketAddr, put: &Put, read_at: Micros, patience: Patience) -> Outcome {
+        let begun = timeout_at(patience.begin_by, self.begin(owner, put, read_at)).await;
+        let Ok(Ok(mut exchange)) = begun else { return Outcome::NeverSent };
+        let answered = timeout_at(patience.answer_by, exchange.finish()).await;
+        let Ok(Ok(reply)) = answered else { return Outcome::Unknown };
+        exchange.keep();
+        outcome_of(reply)
+    }
+
+    /// Connects and writes the first bytes. Given up before it is done, it has written none.
+    async fn begin(&self, owner: SocketAddr, put: &Put, read_at: Micros) -> io::Result<Exchange> {
+        let mut place = self.pool.place(owner).await;
+        let mut stream = place.connect().await?;
+        let passed = clock::now() - read_at;
+        let command = encode_put(&Put { time_left: put.time_left - passed, ..put.clone() });
+        let written = stream.write(&command).await?;
+        if written == 0 {
+            return Err(io::ErrorKind::WriteZero.into());
+        }
+        Ok(Exchange { place, stream, command, written, answer: BytesMut::new() })
+    }
+
+    fn counters(&self) -> &ForwardedCounters {
+        &self.placement.counters.forwarded
+    }
+
+    fn count(&self, verdict: &Verdict) {
+        let counters = self.counters();
+        count(match verdict {
+            Verdict::Taken => &counters.taken,
+            Verdict::Busy { .. } => &counters.busy,
+            Verdict::Failed | Verdict::Wrong(_) => &counters.failed,
+        });
+    }
+}
+
+/// A message of which at least one byte has been written.
+struct Exchange {
+    place: Place,
+    stream: TcpStream,
+    command: Vec<u8>,
+    written: usize,
+    answer: BytesMut,
+}
+
+impl Exchange {
+    /// Writes the rest, and reads the answer.
+    async fn finish(&mut self) -> io::Result<Reply> {
+        self.stream.write_all(&self.command[self.written..]).await?;
+        while !self.answer.ends_with(b"\r\n") {
+            if self.answer.len() >= LINE_MOST || self.stream.read_buf(&mut self.answer).await? == 0 {
+                return Err(io::ErrorKind::UnexpectedEof.into());
+            }
+        }
+        let line = &self.answer[..self.answer.len() - 2];
+        decode_reply(line).ok_or_else(|| io::ErrorKind::InvalidData.into())
+    }
+
+    /// Keeps the connection for the next message.
+    fn keep(self) {
+        self.place.keep(self.stream);
+    }
+}
+
+fn patience_from_now(begin_within: Micros, patience: Micros) -> Patience {
+    let now = Instant::now();
+    Patience { begin_by: now + span(begin_within), answer_by: now + span(patience) }
+}
+
+fn span(micros: Micros) -> Duration {
+    Duration::from_micros(u64::try_from(micros).unwrap_or(0))
+}
+
+fn outcome_of(reply: Reply) -> Outcome {
+    match reply {
+        Reply::Taken => Outcome::Taken,
+        Reply::Busy { after_ms } => Outcome::Busy { after_ms },
+        Reply::Failed => Outcome::Wrong("the message failed".into()),
+        Reply::Wrong(reason) => Outcome::Wrong(reason.into_owned()),
+    }
+}
+
+fn reply_of(verdict: Verdict) -> Reply {
+    match verdict {
+        Verdict::Taken => Reply::Taken,
+        Verdict::Busy { after_ms } => Reply::Busy { after_ms },
+        Verdict::Failed => Reply::Failed,
+        Verdict::Wrong(reason) => Reply::Wrong(reason.into()),
+    }
+}
--- /dev/null
+++ b/crates/sender/src/placement/held.rs
@@ -0,0 +1,59 @@
+//! The destinations for which this sender holds messages, whoever owns them by now.
+
+use heronroute::MsgId;
+use std::collections::HashMap;
+
+/// Held messages by destination. Bounded by what the sender may hold.
+#[derive(Debug, Default)]
+pub struct HeldMessages {
+    destinations: HashMap<MsgId, i64>,
+    counts: HashMap<i64, usize>,
+}
+
+impl HeldMessages {
+    /// A message is held from now on.
+    pub fn insert(&mut self, id: MsgId, dest: i64) {
+        if self.destinations.insert(id, dest).is_none() {
+            *self.counts.entry(dest).or_default() += 1;
+        }
+    }
+
+    /// It is not any more.
+    pub fn remove(&mut self, id: MsgId) {
+        let Some(dest) = self.destinations.remove(&id) else { return };
+        let Some(count) = self.counts.get_mut(&dest) else { return };
+        *count -= 1;
+        if *count == 0 {
+            self.counts.remove(&dest);
+        }
+    }
+
+    /// Whether a message for this destination is held.
+    pub fn contains(&self, dest: i64) -> bool {
+        self.counts.contains_key(&dest)
+    }
+
+    /// The destinations of all held messages.
+    pub fn destinations(&self) -> impl Iterator<Item = i64> {
+        self.counts.keys().copied()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_destination_is_held_until_its_last_message_has_gone() {
+        let mut held = HeldMessages::default();
+        held.insert(MsgId(1), 7);
+        held.insert(MsgId(1), 7);
+        held.insert(MsgId(2), 7);
+        held.remove(MsgId(1));
+        held.remove(MsgId(1));
+        assert!(held.contains(7) && !held.contains(8));
+        held.remove(MsgId(2));
+        assert!(!held.contains(7));
+        assert_eq!(held.destinations().count(), 0);
+    }
+}
