Sender: a changed member list is worked out beside the sender's one thread

Building or changing a table takes the time of many rounds; clients went unanswered meanwhile. A start waits for the table of a list that has come, and two seconds for a list.

--- a/crates/sender/src/daemon.rs
+++ b/crates/sender/src/daemon.rs
@@ -53,8 +53,10 @@
 /// Descriptors of placement beside connections to other members: the listener for them, the connection to a control agent,
 /// and the file that is written.
 const PLACEMENT_FILES: usize = 3;
-/// How long a start waits for the member list, ...
+/// How long a start waits for an answer of a control agent, ...
 const MEMBERS_WAIT: Duration = Duration::from_secs(2);
+/// ... for the table of the list that came, which takes up to a second at full size, and more on a busy machine, ...
+const TABLE_WAIT: Duration = Duration::from_secs(8);
 /// ... and how often it looks whether the address is free at which the process before this one takes forwarded messages.
 const FORWARD_ADDRESS_LOOK: Duration = Duration::from_millis(50);
 
@@ -259,13 +261,15 @@
 /// Waits for the member list, but not for ever: what an earlier run left is delivered without it.
 async fn wait_for_members(placement: &Placement) {
     let begun = tokio::time::Instant::now();
-    while placement.epoch().is_none() && begun.elapsed() < MEMBERS_WAIT {
+    let waits = || begun.elapsed() < if placement.is_reading() { TABLE_WAIT } else { MEMBERS_WAIT };
+    while placement.epoch().is_none() && waits() {
         tokio::time::sleep(LIST_LOOK).await;
     }
     if placement.epoch().is_none() {
         eprintln!(
-            "placement: no member list after {MEMBERS_WAIT:?}; starting without: nothing new is taken on, and limits are \
-             shared among {MAX_REPLICAS} owners until the next start"
+            "placement: no member list after {:?}; starting without: nothing new is taken on, and limits are \
+             shared among {MAX_REPLICAS} owners until the next start",
+            begun.elapsed()
         );
     }
 }
--- a/crates/sender/src/placement/follow.rs
+++ b/crates/sender/src/placement/follow.rs
@@ -6,9 +6,7 @@
 use crate::fleet::Fleet;
 use crate::input::Input;
 use bytes::Bytes;
-use embershore_placement::{
-    Answer, Changes, Heard, ListError, MemberList, Placement as MemberPlacement, Placements, Unshared,
-};
+use embershore_placement::{Answer, Heard, ListError, Ownership};
 use heronroute::Micros;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::Request;
@@ -16,7 +14,6 @@
 use std::error::Error;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep_until, timeout};
@@ -143,43 +140,24 @@
     Ok(body.to_bytes())
 }
 
-/// Takes an answer over. A whole list is read and its table built beside the sender's one thread: it takes the time of many
-/// rounds.
+/// Takes an answer over. What changes the table does so beside the sender's one thread: it takes the time of many rounds.
+/// Until it is done the former table and its lease stay in force.
 async fn take_over(placement: &Placement, asked_at: Micros, text: Bytes) -> Result<Heard, ListError> {
-    let current = placement.epoch();
-    let prepared = tokio::task::spawn_blocking(move || prepare(&text, current)).await;
-    let (answer, built) = prepared
-        .unwrap_or_else(|e| Err(ListError::Malformed { reason: format!("reading it failed: {e}") }))?;
-    placement.hear(&mut Prebuilt(built), asked_at, answer)
+    placement.reading.set(true);
+    let before = placement.ownership.borrow().clone();
+    let read = tokio::task::spawn_blocking(move || hear(before, asked_at, &text)).await;
+    placement.reading.set(false);
+    let (after, heard) =
+        read.unwrap_or_else(|e| Err(ListError::Malformed { reason: format!("reading it failed: {e}") }))?;
+    placement.put_in_force(after, &heard);
+    Ok(heard)
 }
 
-/// Reads an answer; with the table of a list that is not in force yet.
-fn prepare(text: &[u8], current: Option<u64>) -> Result<(Answer, Option<Arc<MemberPlacement>>), ListError> {
+/// Reads an answer; the view that it leads to, and what changed.
+fn hear(mut ownership: Ownership, asked_at: Micros, text: &[u8]) -> Result<(Ownership, Heard), ListError> {
     let answer = Answer::parse_json(text)?;
-    let built = match &answer {
-        Answer::Whole(list) if current.is_none_or(|epoch| list.epoch() > epoch) => {
-            Some(Arc::new(MemberPlacement::build((**list).clone())))
-        }
-        _ => None,
-    };
-    Ok((answer, built))
-}
-
-/// A placement that was built before the list is taken over.
-struct Prebuilt(Option<Arc<MemberPlacement>>);
-
-impl Placements for Prebuilt {
-    fn build(&mut self, list: MemberList) -> Arc<MemberPlacement> {
-        self.0.take().unwrap_or_else(|| Unshared.build(list))
-    }
-
-    fn apply(
-        &mut self,
-        before: &Arc<MemberPlacement>,
-        changes: &Changes,
-    ) -> Result<Arc<MemberPlacement>, ListError> {
-        Unshared.apply(before, changes)
-    }
+    let heard = ownership.heard(asked_at, clock::now(), answer)?;
+    Ok((ownership, heard))
 }
 
 fn micros(span: Micros) -> Duration {
--- a/crates/sender/src/placement/mod.rs
+++ b/crates/sender/src/placement/mod.rs
@@ -16,8 +16,7 @@
 
 use embershore_placement::options::PlacementOptions;
 use embershore_placement::{
-    DEFAULT_WAIT_MS, Heard, ListError, MAX_REPLICAS, Ownership, Placements, Request, Route, SeatId, ShardId,
-    Takes, sub_shard,
+    DEFAULT_WAIT_MS, Heard, MAX_REPLICAS, Ownership, Request, Route, SeatId, ShardId, Takes, sub_shard,
 };
 use embershore_protocol::listing::Listing;
 use embershore_protocol::resp::Put;
@@ -74,6 +73,8 @@
     pub counters: Counters,
     memory: Memory,
     owned_shards: Cell<usize>,
+    /// An answer of a control agent has come and is being read.
+    reading: Cell<bool>,
     /// Owners among which the module shares a destination's limit.
     sharers: Cell<u32>,
 }
@@ -95,6 +96,7 @@
             counters: Counters::default(),
             memory,
             owned_shards: Cell::new(0),
+            reading: Cell::new(false),
             sharers: Cell::new(MAX_REPLICAS as u32),
         };
         placement.take_classes(class_names.iter().zip(&settings.classes));
@@ -121,27 +123,19 @@
         self.ownership.borrow().epoch()
     }
 
-    /// Takes over an answer of a control agent.
-    ///
-    /// # Errors
-    /// As [`Ownership::heard`]; the list in force stays.
-    fn hear(
-        &self,
-        placements: &mut impl Placements,
-        asked_at: Micros,
-        answer: embershore_placement::Answer,
-    ) -> Result<Heard, ListError> {
-        let mut ownership = self.ownership.borrow_mut();
-        let wide_before: Vec<(i64, u16)> = ownership.list().iter().flat_map(|list| list.wide()).collect();
-        let heard = ownership.heard_with(placements, asked_at, clock::now(), answer)?;
-        let wide_after: Vec<(i64, u16)> = ownership.list().iter().flat_map(|list| list.wide()).collect();
-        drop(ownership);
+    /// Whether an answer of a control agent has come and is being read.
+    pub fn is_reading(&self) -> bool {
+        self.reading.get()
+    }
+
+    /// Puts a view in force that was made of the one in force.
+    fn put_in_force(&self, ownership: Ownership, heard: &Heard) {
+        let before = self.ownership.replace(ownership);
         self.owned_shards.set(self.owned_shards.get() + heard.gained.len() - heard.lost.len());
         self.endpoint_list.forget(&heard.lost);
-        if !heard.gained.is_empty() || wide_before != wide_after {
+        if !heard.gained.is_empty() || wide_of(&before) != wide_of(&self.ownership.borrow()) {
             self.endpoint_list.want(heard.gained.iter().copied());
         }
-        Ok(heard)
     }
 
     /// Writes down in which epoch nothing is on hold, for the next start.
@@ -262,6 +256,10 @@
     }
 }
 
+fn wide_of(ownership: &Ownership) -> Vec<(i64, u16)> {
+    ownership.list().into_iter().flat_map(|list| list.wide()).collect()
+}
+
 fn request_of(put: &Put, rule: ClassRule) -> Request<'_> {
     let order_key = rule.ordered.then_some(&*put.order_key);
     Request { dest: put.dest, order_key, request_id: &put.request_id }
