Scale: processor time for idle rounds and for owners' readiness

On a shared machine the clock's time of a round, and of a hundred processes that build tables at once, tells of the machine and not of the sender.

--- a/crates/scale/src/hollow_module.rs
+++ b/crates/scale/src/hollow_module.rs
@@ -1,11 +1,12 @@
 //! The decision module without a process around it: no sockets, no journal, simulated time.
 
+use crate::spread::thread_cpu_time;
 use anyhow::Result;
 use heronroute::{
     Action, ClassSettings, DestId, Dispatcher, Effect, EndpointEntry, EndpointId, Event, KindSettings,
     Micros, MsgId, Outcome, Settings, Status,
 };
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Simulated time between two rounds, as in the daemon's settings.
 pub const QUANTUM: Micros = 5_000;
@@ -35,27 +36,42 @@
         Ok(Module { dispatcher, now: 0, next_message: 0, events: Vec::new(), actions: Vec::new() })
     }
 
-    /// One round in which nothing has happened; the processor's time for it.
-    pub fn idle_round(&mut self) -> Duration {
-        self.round(&[])
+    /// So many rounds in which nothing happens; the processor's time for all of them.
+    ///
+    /// # Errors
+    /// Where the system does not tell a thread's time.
+    pub fn idle_rounds(&mut self, count: u32) -> Result<Duration> {
+        let begun = thread_cpu_time()?;
+        for _ in 0..count {
+            self.now += QUANTUM;
+            self.decide();
+        }
+        Ok(thread_cpu_time()? - begun)
     }
 
-    /// One round in which these destinations get a message each and the last round's calls have ended; the time for
-    /// it.
-    pub fn round(&mut self, destinations: &[i64]) -> Duration {
+    /// One round in which these destinations get a message each and the last round's calls have ended; the processor's
+    /// time for it.
+    ///
+    /// # Errors
+    /// Where the system does not tell a thread's time.
+    pub fn round(&mut self, destinations: &[i64]) -> Result<Duration> {
         self.now += QUANTUM;
         for destination in destinations {
             self.next_message += 1;
             self.events.push(message(self.next_message, *destination));
         }
-        let begun = Instant::now();
+        let begun = thread_cpu_time()?;
+        self.decide();
+        let used = thread_cpu_time()? - begun;
+        self.events.clear();
+        self.events.extend(self.actions.drain(..).filter_map(delivered));
+        Ok(used)
+    }
+
+    fn decide(&mut self) {
         self.dispatcher.round(self.now, &self.events, &mut self.actions);
         // The daemon looks at every endpoint's health after each round.
         std::hint::black_box(self.dispatcher.health().count());
-        let elapsed = begun.elapsed();
-        self.events.clear();
-        self.events.extend(self.actions.drain(..).filter_map(delivered));
-        elapsed
     }
 }
 
--- a/crates/scale/src/slopes/hollow_check.rs
+++ b/crates/scale/src/slopes/hollow_check.rs
@@ -22,7 +22,7 @@
     for round in 1..=seconds * ROUNDS_PER_SECOND {
         let due = (round as f64 * by_round) as u64;
         let destinations: Vec<i64> = (handed..due).map(|n| n as i64 % active).collect();
-        used += module.round(&destinations);
+        used += module.round(&destinations)?;
         handed = due;
     }
     Ok(used.as_secs_f64() / handed as f64)
--- a/crates/scale/src/slopes/module_round.rs
+++ b/crates/scale/src/slopes/module_round.rs
@@ -11,6 +11,8 @@
 
 /// Rounds of the daemon at most in a second: one a quantum of 5 ms.
 const ROUNDS_PER_SECOND: f64 = 200.0;
+/// Rounds whose time is taken together: one is short for the clock.
+const BATCH: u32 = 20;
 /// A size is measured no longer than this.
 const TIME_MOST: Duration = Duration::from_secs(10);
 
@@ -22,22 +24,22 @@
     let owned = (SENDER_DESTINATIONS * BUSIEST_OWNER.limit) as usize;
     let sizes: &[usize] =
         if setup.small { &[100, owned, 1_000] } else { &[100, owned, 1_000, 10_000, 100_000] };
-    let rounds = if setup.small { 500 } else { 4_000 };
+    let batches = if setup.small { 25 } else { 200 };
     let mut report = Report::new("module-round", setup);
     report.input("destinations", format!("{sizes:?}, one endpoint each"));
-    report.input("rounds", format!("{rounds} of 5 ms each, {TIME_MOST:?} at the most"));
+    report.input("rounds", format!("{batches} times {BATCH}, {TIME_MOST:?} at the most; processor time"));
     let mut points = Vec::new();
     for &count in sizes {
         let mut module = Module::new(count, setup.seed)?;
         let mut times = Times::new()?;
         let begun = Instant::now();
-        for _ in 0..rounds {
-            times.record(module.idle_round());
+        for _ in 0..batches {
+            times.record(module.idle_rounds(BATCH)?);
             if begun.elapsed() > TIME_MOST {
                 break;
             }
         }
-        let spread = times.seconds();
+        let spread = times.seconds().scaled(1.0 / f64::from(BATCH));
         points.push((count as f64, spread.median));
         report.figure(format!("idle round at {count}"), Unit::Seconds, spread);
         if count == owned {
--- a/crates/scale/src/slopes/owners_check.rs
+++ b/crates/scale/src/slopes/owners_check.rs
@@ -33,6 +33,7 @@
 struct Real {
     kept: Vec<f64>,
     resident: Vec<f64>,
+    cpu: Vec<f64>,
     seconds: f64,
 }
 
@@ -55,7 +56,8 @@
     }
     let seconds = begun.elapsed().as_secs_f64();
     let resident = daemons.iter().map(Daemon::resident_bytes).collect::<Result<_>>()?;
-    Ok(Real { kept, resident, seconds })
+    let cpu = daemons.iter().map(Daemon::cpu_seconds).collect::<Result<_>>()?;
+    Ok(Real { kept, resident, cpu, seconds })
 }
 
 /// Measures it.
@@ -80,8 +82,11 @@
         report.figure(format!("{size} hollow: destinations kept"), Unit::Count, Spread::of(&hollow));
         report.bounded(format!("{size}: apart by at the most"), Unit::Ratio, apart, HOLLOW_AGAINST_REAL);
         report.figure(format!("{size} real: resident"), Unit::Bytes, Spread::of(&real.resident));
-        let ready = Spread::exact(real.seconds);
-        report.bounded(format!("{size} real: all have read what they own"), Unit::Seconds, ready, READY_TIME);
+        // All build their tables at once on one machine: a sender's own processor time is what compares with the budget.
+        let all = Spread::exact(real.seconds);
+        report.figure(format!("{size} real: until all have read what they own"), Unit::Seconds, all);
+        let name = format!("{size} real: processor time of each until then");
+        report.bounded(name, Unit::Seconds, Spread::of(&real.cpu), READY_TIME);
     }
     Ok(report)
 }
