--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -17,6 +17,7 @@
 mod holds;
 mod lease;
 mod list;
+pub mod options;
 mod ownership;
 mod placement;
 mod preference;
--- a/crates/sender/src/discovery.rs
+++ b/crates/sender/src/discovery.rs
@@ -6,8 +6,10 @@
 use crate::fleet::Fleet;
 use crate::input::Input;
 use crate::list_limit::{self, ListLimit, TooLong};
+use crate::placement::Placement;
+use crate::placement::reader::ListReader;
 use bytes::Bytes;
-use embershore_protocol::listing::{Flaw, Listing, Listings, endpoints_begun};
+use embershore_protocol::listing::{Flaw, Listing, endpoints_begun};
 use http_body_util::{BodyExt, Full};
 use hyper::Request;
 use hyper::body::Incoming;
@@ -26,6 +28,8 @@
 const ANSWER_TIME: Duration = Duration::from_millis(600);
 /// Where asking costs it work, a question may stand in line that long before its answer says whether it succeeded.
 const ANSWER_TIME_DEAR: Duration = Duration::from_secs(4);
+/// A list of which a part is kept may be long; it has been read by then.
+const KEPT_LIST_TIME: Duration = Duration::from_secs(60);
 
 /// Follows the list for ever. The fleet is changed as soon as a line is read, so that a drain stops calls that
 /// have not begun; the driver is told of it in order. When discovery's address changes, the new one is asked at
@@ -44,17 +48,21 @@
     loop {
         let (at, before) = (*addr.borrow_and_update(), index);
         let dear = asking.is_dear();
+        let spread = news.placement.as_ref().map_or(Duration::ZERO, |_| asking.together());
         let work = async {
             tokio::time::sleep(pause).await;
             let (begun, mut opened) = (Instant::now(), false);
-            let ended = watch(at, &mut index, &mut in_force, dear, &mut opened, &news).await;
+            let ended = watch(at, &mut index, &mut in_force, dear, &mut opened, &news, spread).await;
+            if matches!(ended, Ok(Ended::ListWanted)) {
+                return End::ListWanted;
+            }
             let silent = ended.as_ref().is_err_and(|e| opened && e.kind() == io::ErrorKind::TimedOut);
             let rejected = ended.as_ref().err().and_then(list_limit::too_long);
             let broken = ended.is_err();
             match (rejected, ended) {
                 (Some(too_long), _) => news.reject(too_long),
                 (None, Err(e)) => eprintln!("discovery: {e}"),
-                (None, Ok(())) => {}
+                (None, Ok(_)) => {}
             }
             // A watch that fails may bring a line first that tells nothing. A question that hung, or made the version
             // be forgotten, was of no use.
@@ -88,6 +96,7 @@
                 End::Well => asking.ended(),
                 End::Failed(took) => asking.failed(took),
                 End::Rejected(took) => asking.rejected(took),
+                End::ListWanted => Duration::ZERO,
             },
         }
     }
@@ -105,6 +114,16 @@
     Failed(Duration),
     /// It brought a list that is too long.
     Rejected(Duration),
+    /// The whole list is asked for again, of which another part is kept from now on.
+    ListWanted,
+}
+
+/// Where a watch ended that did not fail.
+enum Ended {
+    /// With its connection.
+    Connection,
+    /// Where the whole list was wanted.
+    ListWanted,
 }
 
 /// Where what discovery tells goes.
@@ -113,16 +132,21 @@
     pub driver: mpsc::Sender<Input>,
     pub figures: Rc<Figures>,
     pub limit: ListLimit,
+    /// Which part of a list is kept, where it is not all of it.
+    pub placement: Option<Rc<Placement>>,
 }
 
 impl News {
-    /// The place comes first: a new address may end the wait for it, and the fleet must not know what the driver has
-    /// not been told.
+    /// Changes the fleet and tells the driver. The place comes first: a new address may end the wait for it, and the fleet
+    /// must not know what the driver has not been told.
     async fn tell(&self, listing: Listing) -> io::Result<()> {
         let place = self.driver.reserve().await.map_err(io::Error::other)?;
         let entries = self.fleet.borrow_mut().apply(&listing);
         place.send(Input::Members { index: listing.index, whole: listing.snapshot, entries });
         list_limit::accept(&self.figures);
+        if let Some(placement) = &self.placement {
+            placement.endpoint_list.set_version(listing.index);
+        }
         Ok(())
     }
 
@@ -130,20 +154,46 @@
         let in_force = self.fleet.borrow().listed() > 0;
         list_limit::reject(&self.figures, too_long, in_force);
     }
+
+    /// The number of the last reading of the whole list that was asked for.
+    fn wanted(&self) -> u64 {
+        self.placement.as_ref().map_or(0, |placement| placement.endpoint_list.wanted())
+    }
+
+    fn is_wanted(&self) -> bool {
+        self.placement.as_ref().is_some_and(|placement| placement.endpoint_list.is_wanted())
+    }
+
+    fn done(&self, wanted: u64) {
+        if let Some(placement) = &self.placement {
+            placement.endpoint_list.done(wanted);
+        }
+    }
+
+    /// Waits until the whole list is to be read again; `spread` keeps many senders that gain at once from asking at once.
+    async fn until_wanted(&self, spread: Duration) {
+        match &self.placement {
+            Some(placement) => {
+                placement.endpoint_list.until_wanted().await;
+                tokio::time::sleep(spread).await;
+            }
+            None => std::future::pending().await,
+        }
+    }
 }
 
 /// Lists of endpoints as they are told.
 struct Lines {
     connection: Connection,
     body: Incoming,
-    listings: Listings,
+    listings: ListReader,
     limit: ListLimit,
     /// Since when nothing whole has come.
     since: Instant,
 }
 
 impl Lines {
-    async fn ask(mut connection: Connection, path: &str, dear: bool, limit: ListLimit) -> io::Result<Lines> {
+    async fn ask(mut connection: Connection, path: &str, dear: bool, news: &News) -> io::Result<Lines> {
         let addr = connection.addr().to_string();
         let request = Request::get(path).header("host", addr).body(Full::new(Bytes::new()));
         let answer = connection.send(request.map_err(io::Error::other)?);
@@ -156,8 +206,8 @@
             let kind = if busy { io::ErrorKind::ResourceBusy } else { io::ErrorKind::Other };
             return Err(io::Error::new(kind, format!("status {status}")));
         }
-        let (body, listings) = (response.into_body(), Listings::default());
-        Ok(Lines { connection, body, listings, limit, since: Instant::now() })
+        let (body, listings) = (response.into_body(), ListReader::new(news.placement.as_ref()));
+        Ok(Lines { connection, body, listings, limit: news.limit, since: Instant::now() })
     }
 
     /// Reads on; nothing at the end.
@@ -171,7 +221,36 @@
     }
 
     /// All of it as one list.
-    async fn whole(mut self) -> io::Result<Listing> {
+    async fn whole(self) -> io::Result<Listing> {
+        match self.listings {
+            ListReader::All(_) => self.whole_text().await,
+            ListReader::Kept(..) => {
+                let kept = tokio::time::timeout(KEPT_LIST_TIME, self.whole_kept());
+                kept.await.map_err(silent)?
+            }
+        }
+    }
+
+    /// The part of one list that is kept, however long all of it is. It may take longer than what comes at once, as long as
+    /// more of it comes.
+    async fn whole_kept(mut self) -> io::Result<Listing> {
+        let mut whole = None;
+        loop {
+            while let Some(list) = self.listings.next_whole().map_err(flawed)? {
+                if whole.replace(list).is_some() {
+                    return Err(io::Error::new(io::ErrorKind::InvalidData, "two lists where one is due"));
+                }
+            }
+            self.limit.check(self.listings.held(), || self.listings.endpoints_begun())?;
+            let Some(bytes) = self.read().await? else { break };
+            self.since = Instant::now();
+            self.listings.extend(&bytes);
+        }
+        whole
+            .ok_or_else(|| io::Error::new(io::ErrorKind::UnexpectedEof, "the list ended before it was whole"))
+    }
+
+    async fn whole_text(mut self) -> io::Result<Listing> {
         let mut text = Vec::new();
         while let Some(bytes) = self.read().await? {
             text.extend_from_slice(&bytes);
@@ -190,7 +269,7 @@
             if !self.listings.is_within() {
                 self.since = Instant::now();
             }
-            self.limit.check(self.listings.kept(), || self.listings.endpoints_begun())?;
+            self.limit.check(self.listings.held(), || self.listings.endpoints_begun())?;
             let Some(bytes) = self.read().await? else { return Ok(None) };
             self.listings.extend(&bytes);
         }
@@ -213,20 +292,23 @@
     dear: bool,
     opened: &mut bool,
     news: &News,
-) -> io::Result<()> {
+    spread: Duration,
+) -> io::Result<Ended> {
     let open = async || tokio::time::timeout(ANSWER_TIME, Connection::open(addr)).await.map_err(silent)?;
-    let since = match *index {
+    let since = match index.filter(|_| !news.is_wanted()) {
         Some(since) => since,
         None => {
-            let list = Lines::ask(open().await?, "/v1/servers", dear, news.limit).await?.whole().await?;
+            let wanted = news.wanted();
+            let list = Lines::ask(open().await?, "/v1/servers", dear, news).await?.whole().await?;
             let since = list.index;
             news.tell(Listing { snapshot: true, ..list }).await?;
+            news.done(wanted);
             (*index, *in_force) = (Some(since), Some(since));
             since
         }
     };
     let path = format!("/v1/servers?follow=1&since={since}");
-    let mut lines = match Lines::ask(open().await?, &path, dear, news.limit).await {
+    let mut lines = match Lines::ask(open().await?, &path, dear, news).await {
         Ok(lines) => lines,
         Err(e) => {
             // A version that it does not know must not be asked for again and again. Turned away, it has not
@@ -241,9 +323,15 @@
     // The same for one after which it says nothing, unless it may only have had no time for it.
     *index = index.filter(|_| dear);
     let mut known = since;
-    while let Some(list) = lines.next().await.inspect_err(|e| {
-        *index = index.filter(|_| e.kind() != io::ErrorKind::InvalidData);
-    })? {
+    let mut list_wanted = std::pin::pin!(news.until_wanted(spread));
+    loop {
+        let next = tokio::select! {
+            biased;
+            next = lines.next() => next,
+            () = &mut list_wanted => return Ok(Ended::ListWanted),
+        };
+        let next = next.inspect_err(|e| *index = index.filter(|_| e.kind() != io::ErrorKind::InvalidData));
+        let Some(list) = next? else { return Ok(Ended::Connection) };
         if list.index < known && !list.snapshot {
             *index = None;
             return Err(io::Error::other(format!("version {known} was asked for, {} told", list.index)));
@@ -252,5 +340,4 @@
         news.tell(list).await?;
         (*index, *in_force) = (Some(known), Some(known));
     }
-    Ok(())
 }
--- a/crates/sender/src/figures.rs
+++ b/crates/sender/src/figures.rs
@@ -1,6 +1,7 @@
 //! What the sender reports of itself: counters from the process's start, and how things stand.
 
 use crate::list_limit::TooLong;
+use crate::placement::figures::PlacementFigures;
 use embershore_protocol::notice::End;
 use serde::Serialize;
 use std::cell::{Cell, RefCell};
@@ -66,6 +67,9 @@
     list_bound_bytes: usize,
     list_bytes: usize,
     list_endpoints: usize,
+    /// Only while placement is on.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub placement: Option<PlacementFigures>,
 }
 
 /// What is counted of lists that are too long.
@@ -154,6 +158,7 @@
             list_bound_bytes: self.lists.limit.get(),
             list_bytes: last_list.map_or(0, |list| list.bytes),
             list_endpoints: last_list.map_or(0, |list| list.endpoints),
+            placement: None,
         }
     }
 }
--- a/crates/sender/src/lib.rs
+++ b/crates/sender/src/lib.rs
@@ -28,6 +28,7 @@
 mod matrix;
 mod mgmt;
 mod notices;
+mod placement;
 mod rehearse;
 mod retune;
 mod rows;
