--- a/crates/sender/tests/common/mod.rs
+++ b/crates/sender/tests/common/mod.rs
@@ -530,12 +530,14 @@
     }
 
     pub fn spawn(&mut self) {
-        let child = Command::new(env!("CARGO_BIN_EXE_embershore"))
-            .env("LB_CONFIG", self.folder.path().join("config.json"))
-            .env("LB_STATE", self.state())
-            .spawn()
-            .unwrap();
-        self.child = Some(child);
+        let mut command = Command::new(env!("CARGO_BIN_EXE_embershore"));
+        // The operator's options file, where a test has written one.
+        let options = self.folder.path().join("options.toml");
+        if options.exists() {
+            command.env("LB_OPTIONS", options);
+        }
+        command.env("LB_CONFIG", self.folder.path().join("config.json")).env("LB_STATE", self.state());
+        self.child = Some(command.spawn().unwrap());
         wait_until("the sender to listen", || TcpStream::connect(self.addr).is_ok());
     }
 
--- /dev/null
+++ b/crates/sender/tests/forwarding.rs
@@ -0,0 +1,304 @@
+//! One sender with placement on, between owners that act by a script: what each answer of theirs, and each lack of one,
+//! leads to.
+
+mod common;
+use bytes::BytesMut;
+use common::*;
+use embershore_placement::{MemberList, SeatId, ShardId, Table, shard};
+use embershore_protocol::resp::{self, Put};
+use serde_json::{Value, json};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::ops::RangeInclusive;
+use std::sync::{Arc, LazyLock, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Destinations among which the tests choose.
+const DESTINATIONS: RangeInclusive<i64> = 1..=60;
+/// The sender under test.
+const OWN_SEAT: SeatId = SeatId(0);
+/// Within this a client has its answer.
+const ANSWER_TIME: Duration = Duration::from_millis(400);
+/// Fields of each effect's class, with a time that any of them may have.
+const PUSH: &str = "c=push,d=15000,k=5c0f6e1a2b3d4c59";
+const SYNC: &str = "c=sync,d=15000";
+const PAY: &str = "c=pay,d=15000";
+
+/// What an owner does with a message.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Conduct {
+    Answer(&'static str),
+    /// Reads all of it and ends the connection.
+    Cut,
+    /// Reads all of it and says nothing.
+    Silent,
+}
+
+/// An owner that acts by a script.
+struct ScriptedOwner {
+    addr: SocketAddr,
+    conduct: Arc<Mutex<Conduct>>,
+    put: Arc<Mutex<Vec<Put>>>,
+    connections: Arc<Mutex<usize>>,
+}
+
+impl ScriptedOwner {
+    fn new() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let addr = listener.local_addr().unwrap();
+        let (conduct, put) = (Arc::new(Mutex::new(Conduct::Answer("+OK"))), Arc::default());
+        let owner = ScriptedOwner { addr, conduct, put, connections: Arc::default() };
+        let (conduct, put, connections) =
+            (owner.conduct.clone(), owner.put.clone(), owner.connections.clone());
+        thread::spawn(move || {
+            for stream in listener.incoming() {
+                *connections.lock().unwrap() += 1;
+                let (conduct, put) = (conduct.clone(), put.clone());
+                thread::spawn(move || serve(stream.unwrap(), &conduct, &put));
+            }
+        });
+        owner
+    }
+
+    fn act(&self, conduct: Conduct) {
+        *self.conduct.lock().unwrap() = conduct;
+    }
+
+    /// Messages that came whole.
+    fn put(&self) -> Vec<Put> {
+        self.put.lock().unwrap().clone()
+    }
+
+    fn saw(&self, id: &str) -> bool {
+        self.put().iter().any(|put| put.request_id == id)
+    }
+}
+
+fn serve(mut stream: TcpStream, conduct: &Mutex<Conduct>, put: &Mutex<Vec<Put>>) {
+    let mut unread = BytesMut::new();
+    let mut piece = [0; 4096];
+    while let Ok(count @ 1..) = stream.read(&mut piece) {
+        unread.extend_from_slice(&piece[..count]);
+        while let Some(arguments) = resp::command(&mut unread).unwrap() {
+            put.lock().unwrap().push(resp::put(&arguments).unwrap());
+            let conduct = *conduct.lock().unwrap();
+            match conduct {
+                Conduct::Answer(line) => _ = stream.write_all(format!("{line}\r\n").as_bytes()),
+                Conduct::Cut => return,
+                Conduct::Silent => {}
+            }
+        }
+    }
+}
+
+fn member_list(addresses: [SocketAddr; 3]) -> Value {
+    let seat = |index: usize| {
+        json!({"region": "r1", "zone": format!("z{index}"), "rack": "r", "weight": 1.0,
+               "member": {"name": format!("n{index}"), "address": addresses[index].to_string()}})
+    };
+    json!({"epoch": 1, "scheme": 1, "replicas": 2, "first": true, "regions": [{"name": "r1", "share": 1}],
+           "seats": [seat(0), seat(1), seat(2)], "wide": []})
+}
+
+/// The table of any such list: it does not depend on addresses.
+static TABLE: LazyLock<Table> = LazyLock::new(|| {
+    let list = member_list([1, 2, 3].map(|port| SocketAddr::from(([127, 0, 0, 1], port))));
+    Table::build(&MemberList::parse_json(list.to_string().as_bytes()).unwrap())
+});
+
+fn owners(dest: i64) -> &'static [SeatId] {
+    let shard: ShardId = shard(dest);
+    TABLE.owners(shard)
+}
+
+/// Destinations that the sender under test owns, or that the two others do.
+fn destinations(own: bool) -> Vec<i64> {
+    DESTINATIONS.filter(|dest| owners(*dest).contains(&OWN_SEAT) == own).collect()
+}
+
+/// A sender with placement on, and what stands around it.
+struct Stage {
+    sender: Sender,
+    forward: SocketAddr,
+    owners: [ScriptedOwner; 2],
+    control: Endpoint,
+    receiver: Endpoint,
+    _platform: Platform,
+}
+
+impl Stage {
+    fn start() -> Self {
+        let receiver = Endpoint::new(|_| status(200));
+        let lines = DESTINATIONS.map(|dest| line(&format!("e{dest}"), receiver.addr, "one", dest, "Ready"));
+        let platform = Platform::new(lines.collect());
+        let owners = [ScriptedOwner::new(), ScriptedOwner::new()];
+        let mut sender = Sender::with_door(&platform);
+        sender.kill();
+        // An address of the sender's own, on which no one else is given a port.
+        let forward = SocketAddr::new(sender.addr.ip(), sender.addr.port() ^ 1);
+        let list = member_list([forward, owners[0].addr, owners[1].addr]).to_string();
+        let control = Endpoint::new(move |_| status_with(&list));
+        let options = format!(
+            "[placement]\nname = \"n0\"\nlisten = \"{forward}\"\ncontrol = [\"{}\"]\nlease = \"2s\"\nask_every = \"250ms\"\n",
+            control.addr
+        );
+        std::fs::write(sender.folder.path().join("options.toml"), options).unwrap();
+        sender.spawn();
+        sender.client().ping();
+        let stage = Stage { sender, forward, owners, control, receiver, _platform: platform };
+        wait_until("an epoch", || stage.figures()["epoch"] == 1 && stage.figures()["unread_shards"] == 0);
+        stage
+    }
+
+    fn figures(&self) -> Value {
+        self.sender.figures()["placement"].clone()
+    }
+
+    /// Hands a message in; the answer, within the time that a client has.
+    fn put(&self, id: &str, fields: &str, dest: i64) -> String {
+        let mut client = self.sender.client();
+        let begun = Instant::now();
+        let answer = client.put(id, &format!("{fields},dest={dest}"));
+        assert!(begun.elapsed() < ANSWER_TIME, "{id}: {answer} after {:?}", begun.elapsed());
+        answer
+    }
+
+    fn act(&self, conduct: Conduct) {
+        self.owners.iter().for_each(|owner| owner.act(conduct));
+    }
+
+    /// How many owners saw a message.
+    fn seen_by(&self, id: &str) -> usize {
+        self.owners.iter().filter(|owner| owner.saw(id)).count()
+    }
+}
+
+fn status_with(body: &str) -> Act {
+    Act::Answer(200, Vec::new(), body.to_string())
+}
+
+#[test]
+fn an_owned_destination_is_served_here_and_another_is_passed_on_once() {
+    let stage = Stage::start();
+    let own = destinations(true);
+    assert_eq!(stage.sender.figures()["discovered"], own.len(), "no more of the list is kept");
+    assert_eq!(stage.put("own", PAY, own[0]), "+OK");
+    stage.receiver.wait_sent("own");
+    let others = destinations(false);
+    for (n, dest) in others.iter().enumerate() {
+        assert_eq!(stage.put(&format!("other-{n}"), PUSH, *dest), "+OK");
+        assert_eq!(stage.seen_by(&format!("other-{n}")), 1);
+    }
+    assert_eq!(stage.seen_by("own"), 0);
+    let connections: usize = stage.owners.iter().map(|owner| *owner.connections.lock().unwrap()).sum();
+    assert!(connections < others.len(), "connections are kept: {connections} for {}", others.len());
+    let put = stage.owners.iter().flat_map(ScriptedOwner::put).next().unwrap();
+    assert_eq!((put.class.as_str(), put.tenant.as_str(), &put.body[..]), ("push", "acme", &b"hello"[..]));
+    assert_eq!(put.idempotency_key.as_deref(), Some("5c0f6e1a2b3d4c59"));
+    assert!((14_600_000..=15_000_000).contains(&put.time_left), "{}", put.time_left);
+    let figures = stage.figures();
+    assert_eq!(
+        (&figures["forwarded"]["taken"], &figures["forwarded"]["unknown"]),
+        (&others.len().into(), &0.into())
+    );
+    // What comes in at the forward address is served or refused, and goes no further.
+    let mut member = Client::new(stage.forward);
+    assert_eq!(member.put("for-own", &format!("{SYNC},dest={}", own[1])), "+OK");
+    let refused = member.put("for-other", &format!("{SYNC},dest={}", others[0]));
+    assert!(refused.starts_with("-BUSY"), "{refused}");
+    assert_eq!(stage.seen_by("for-other"), 0);
+    assert_eq!(stage.figures()["taken_for_others"], 1);
+}
+
+#[test]
+fn each_answer_of_an_owner_has_its_own() {
+    let stage = Stage::start();
+    let dest = destinations(false)[0];
+    stage.act(Conduct::Answer("-BUSY 700"));
+    assert_eq!(stage.put("full", PAY, dest), "-BUSY 700");
+    assert_eq!(stage.seen_by("full"), 2, "surely not taken: the next one is asked");
+    stage.owners[0].act(Conduct::Answer("-BUSY 90"));
+    assert_eq!(stage.put("least", PAY, dest), "-BUSY 90");
+    stage.act(Conduct::Answer("-ERR unknown destination"));
+    assert_eq!(stage.put("wrong", SYNC, dest), "-ERR unknown destination");
+    assert_eq!(stage.seen_by("wrong"), 1, "final");
+    stage.owners[0].act(Conduct::Answer("-BUSY"));
+    stage.owners[1].act(Conduct::Answer("+OK"));
+    for n in 0..4 {
+        assert_eq!(stage.put(&format!("either-{n}"), PAY, dest), "+OK");
+    }
+    let forwarded = &stage.figures()["forwarded"];
+    assert_eq!(
+        (&forwarded["taken"], &forwarded["busy"], &forwarded["failed"]),
+        (&4.into(), &2.into(), &1.into())
+    );
+}
+
+#[test]
+fn without_an_answer_only_a_message_that_may_be_repeated_goes_to_a_second_owner() {
+    let stage = Stage::start();
+    let dest = destinations(false)[0];
+    for (n, conduct) in [Conduct::Cut, Conduct::Silent, Conduct::Answer("$nonsense")].into_iter().enumerate()
+    {
+        stage.act(conduct);
+        for (class, fields) in [("push", PUSH), ("pay", PAY)] {
+            let id = format!("{class}-{n}");
+            assert_eq!(stage.put(&id, fields, dest), "-ERR the message failed", "{conduct:?}");
+            assert_eq!(stage.seen_by(&id), 1, "{conduct:?}: one owner may have taken it");
+        }
+        let id = format!("sync-{n}");
+        let answer = stage.put(&id, SYNC, dest);
+        assert!(answer.starts_with("-BUSY"), "{conduct:?}: {answer}");
+        assert_eq!(stage.seen_by(&id), 2, "{conduct:?}");
+    }
+    assert!(stage.figures()["forwarded"]["unknown"].as_u64() >= Some(12), "{}", stage.figures());
+    // One of them still serves.
+    stage.owners[0].act(Conduct::Answer("+OK"));
+    for n in 0..4 {
+        assert_eq!(stage.put(&format!("again-{n}"), SYNC, dest), "+OK");
+    }
+}
+
+#[test]
+fn without_a_lease_nothing_new_is_taken_on_and_others_are_still_reached() {
+    let stage = Stage::start();
+    stage.control.act(|_| Act::Silence);
+    wait_until("the lease to expire", || stage.figures()["lease_left_ms"] == 0);
+    let (own, other) = (destinations(true)[0], destinations(false)[0]);
+    assert_eq!(stage.put("other", PAY, other), "+OK");
+    // The other owner of it is asked, and has a lease of its own.
+    assert_eq!(stage.put("own", PAY, own), "+OK");
+    assert_eq!(stage.seen_by("own"), 1);
+    let refused = Client::new(stage.forward).put("forwarded", &format!("{PAY},dest={own}"));
+    assert!(refused.starts_with("-BUSY"), "{refused}");
+    let (control, before) = (&stage.control, stage.figures());
+    assert_eq!((&before["lists_refused"], &before["epoch"]), (&0.into(), &1.into()));
+    control.act(|_| status_with(r#"{"epoch":1,"since":1,"changes":[]}"#));
+    wait_until("a lease", || stage.figures()["lease_left_ms"] != 0);
+    let taken = Client::new(stage.forward).put("afterwards", &format!("{PAY},dest={own}"));
+    assert_eq!(taken, "+OK", "no hold after an outage of control");
+}
+
+#[test]
+fn a_list_that_is_refused_leaves_the_last_one_in_force() {
+    let stage = Stage::start();
+    let other = stage.owners[0].addr;
+    let changed = member_list([stage.forward, other, SocketAddr::from(([127, 0, 0, 1], 9))]).to_string();
+    stage.control.act(move |_| status_with(&changed));
+    wait_until("a refusal", || stage.figures()["lists_refused"].as_u64() > Some(0));
+    wait_until("the lease to expire", || stage.figures()["lease_left_ms"] == 0);
+    assert_eq!(stage.figures()["epoch"], 1);
+    assert_eq!(stage.put("passed-on", PAY, destinations(false)[0]), "+OK");
+}
+
+#[test]
+fn without_the_section_there_is_no_word_of_placement() {
+    let receiver = Endpoint::new(|_| status(200));
+    let platform = Platform::new(vec![line("e1", receiver.addr, "one", 1, "Ready")]);
+    let sender = Sender::with_door(&platform);
+    sender.client().ping();
+    assert_eq!(sender.figures().get("placement"), None);
+    assert_eq!(sender.client().put("m", &format!("{PAY},dest=1")), "+OK");
+    assert!(!sender.state().join("placement.json").exists());
+}
