Placement: what the last run shared limits among is remembered; how far agents may be behind is an option

The state folder's file is written before anything is done under a new list; agent_lag is 0 if not given.

--- a/crates/placement/src/options.rs
+++ b/crates/placement/src/options.rs
@@ -21,6 +21,8 @@
 /// Questions to the control agent by default in the time of one lease.
 const ASKS_PER_LEASE: u32 = 4;
 /// More frequent questions cost more than all else that a quiet member does.
+/// A longer lag of an agent keeps gained shards on hold for longer than an outage of most causes lasts.
+const AGENT_LAG_MOST: Duration = Duration::from_secs(300);
 const ASK_EVERY_LEAST: Duration = Duration::from_millis(100);
 /// Kept connections to other members; they are taken from the descriptors that endpoints' connections may use.
 const OWNER_CONNECTIONS_BOUNDS: RangeInclusive<usize> = 1..=1024;
@@ -35,6 +37,7 @@
     control: Spanned<Vec<Spanned<String>>>,
     lease: Option<Spanned<Span>>,
     ask_every: Option<Spanned<Span>>,
+    agent_lag: Option<Spanned<Span>>,
     owner_connections: Option<Spanned<i64>>,
 }
 
@@ -54,6 +57,9 @@
     pub lease: Micros,
     /// How often a control agent is asked, in microseconds.
     pub ask_every: Micros,
+    /// How long an agent may still answer with an epoch after a later one was first told, in microseconds; see
+    /// [`crate::LeaseTimes::agent_lag`].
+    pub agent_lag: Micros,
     /// Kept connections to other members at most.
     pub owner_connections: usize,
 }
@@ -129,6 +135,15 @@
         span.clamp(ASK_EVERY_LEAST, lease)
     }
 
+    fn agent_lag(&mut self, agent_lag: Option<&Spanned<Span>>) -> Duration {
+        let Some(agent_lag) = agent_lag else { return Duration::ZERO };
+        let Span(span) = *agent_lag.get_ref();
+        if span > AGENT_LAG_MOST {
+            self.report(agent_lag.span(), "'agent_lag' is 5m at most");
+        }
+        span.min(AGENT_LAG_MOST)
+    }
+
     fn owner_connections(&mut self, count: Option<&Spanned<i64>>) -> usize {
         let Some(count) = count else { return OWNER_CONNECTIONS_DEFAULT };
         let checked = usize::try_from(*count.get_ref()).ok();
@@ -153,11 +168,12 @@
         let control = checker.control(&self.control);
         let lease = checker.lease(self.lease.as_ref());
         let ask_every = checker.ask_every(self.ask_every.as_ref(), lease);
+        let agent_lag = micros(checker.agent_lag(self.agent_lag.as_ref()));
         let owner_connections = checker.owner_connections(self.owner_connections.as_ref());
         match listen {
             Some(listen) if checker.found.is_empty() => {
                 let (lease, ask_every) = (micros(lease), micros(ask_every));
-                Ok(PlacementOptions { name, listen, control, lease, ask_every, owner_connections })
+                Ok(PlacementOptions { name, listen, control, lease, ask_every, agent_lag, owner_connections })
             }
             _ => Err(checker.found),
         }
--- a/crates/placement/tests/options.rs
+++ b/crates/placement/tests/options.rs
@@ -26,6 +26,7 @@
         control: vec![([10, 0, 0, 9], 7100).into()],
         lease: 10_000_000,
         ask_every: 2_500_000,
+        agent_lag: 0,
         owner_connections: 64,
     };
     assert_eq!(read(SMALLEST), Ok(expected));
@@ -36,10 +37,11 @@
 #[test]
 fn all_that_is_said_is_taken() {
     let text = "name = \"n1\"\nlisten = \"127.0.0.1:7001\"\ncontrol = [\"127.0.0.2:1\", \"127.0.0.3:1\"]\n\
-                lease = \"4s\"\nask_every = \"500ms\"\nowner_connections = 3\n";
+                lease = \"4s\"\nask_every = \"500ms\"\nagent_lag = \"3s\"\nowner_connections = 3\n";
     let options = read(text).expect("good");
     assert_eq!(options.control, [([127, 0, 0, 2], 1).into(), ([127, 0, 0, 3], 1).into()]);
-    assert_eq!((options.lease, options.ask_every, options.owner_connections), (4_000_000, 500_000, 3));
+    assert_eq!((options.lease, options.ask_every), (4_000_000, 500_000));
+    assert_eq!((options.agent_lag, options.owner_connections), (3_000_000, 3));
 }
 
 #[test]
@@ -61,6 +63,7 @@
     wrong("lease = \"301s\"", "between 2s and 5m");
     wrong("ask_every = \"99ms\"", "100ms at least");
     wrong("ask_every = \"5001ms\"", "half of 'lease'");
+    wrong("agent_lag = \"301s\"", "5m at most");
     wrong("owner_connections = -1", "between 1 and 1024");
     wrong("owner_connections = 1025", "between 1 and 1024");
     for good in ["lease = \"2s\"", "lease = \"5m\"", "ask_every = \"5s\"", "owner_connections = 1024"] {
--- a/crates/sender/src/check.rs
+++ b/crates/sender/src/check.rs
@@ -102,6 +102,7 @@
     control: Vec<SocketAddr>,
     lease: String,
     ask_every: String,
+    agent_lag: String,
     owner_connections: usize,
 }
 
@@ -113,16 +114,17 @@
             control: placement.control.clone(),
             lease: span(placement.lease),
             ask_every: span(placement.ask_every),
+            agent_lag: span(placement.agent_lag),
             owner_connections: placement.owner_connections,
         }
     }
 
     fn text(&self) -> String {
-        let ShownPlacement { name, listen, control, lease, ask_every, owner_connections } = self;
+        let ShownPlacement { name, listen, control, lease, ask_every, agent_lag, owner_connections } = self;
         let control: Vec<String> = control.iter().map(SocketAddr::to_string).collect();
         format!(
             "placement: this is '{name}', takes forwarded requests at {listen}, asks {} every {ask_every} for a lease \
-             of {lease}, keeps {owner_connections} connections to other members at most",
+             of {lease}, agents are at most {agent_lag} behind, keeps {owner_connections} connections to other members at most",
             control.join(", ")
         )
     }
--- a/crates/sender/src/daemon.rs
+++ b/crates/sender/src/daemon.rs
@@ -268,7 +268,7 @@
     if placement.epoch().is_none() {
         eprintln!(
             "placement: no member list after {:?}; starting without: nothing new is taken on, and limits are \
-             shared among {MAX_REPLICAS} owners until the next start",
+             shared as in the last run, or among {MAX_REPLICAS} owners, until the next start",
             begun.elapsed()
         );
     }
--- a/crates/sender/src/placement/memory.rs
+++ b/crates/sender/src/placement/memory.rs
@@ -1,7 +1,8 @@
-//! What the state folder remembers of the member list, so that a restarted owner need not wait as a new one.
+//! What the state folder remembers of the member list: a restarted owner need not wait as a new one, and does not take a
+//! larger share of a limit than its last run left it.
 
 use embershore_placement::Remembered;
-use std::cell::Cell;
+use std::cell::RefCell;
 use std::io;
 use std::path::{Path, PathBuf};
 
@@ -12,7 +13,7 @@
 #[derive(Debug)]
 pub struct Memory {
     folder: PathBuf,
-    written: Cell<Option<Remembered>>,
+    written: RefCell<Option<Remembered>>,
 }
 
 impl Memory {
@@ -20,12 +21,12 @@
     pub fn open(folder: &Path) -> Memory {
         let read = std::fs::read(folder.join(FILE)).ok();
         let remembered = read.and_then(|text| serde_json::from_slice(&text).ok());
-        Memory { folder: folder.into(), written: Cell::new(remembered) }
+        Memory { folder: folder.into(), written: RefCell::new(remembered) }
     }
 
     /// What an earlier run left, or this one has written.
     pub fn get(&self) -> Option<Remembered> {
-        self.written.get()
+        self.written.borrow().clone()
     }
 
     /// Writes it down, unless it stands there.
@@ -33,13 +34,13 @@
     /// # Errors
     /// When the folder can't be written; what stood there before stays.
     pub fn keep(&self, remembered: Remembered) -> io::Result<()> {
-        if self.written.get() == Some(remembered) {
+        if self.written.borrow().as_ref() == Some(&remembered) {
             return Ok(());
         }
         let next = self.folder.join(NEXT_FILE);
         std::fs::write(&next, serde_json::to_vec(&remembered)?)?;
         std::fs::rename(next, self.folder.join(FILE))?;
-        self.written.set(Some(remembered));
+        self.written.replace(Some(remembered));
         Ok(())
     }
 }
--- a/crates/sender/src/placement/mod.rs
+++ b/crates/sender/src/placement/mod.rs
@@ -109,11 +109,12 @@
         self.classes.borrow_mut().extend(classes.map(|(name, class)| (name.clone(), rule(class))));
     }
 
-    /// Settles among how many owners the module shares a destination's limit: the replicas of the list in force, or the most
-    /// that a list can name where there is none yet. It holds until the process ends.
+    /// Settles among how many owners the module shares a destination's limit: the most replicas that may still be acted upon,
+    /// by the list in force or else by the last run, or that a list can name. It holds until the process ends.
     pub fn settle_sharers(&self) -> u32 {
-        let replicas = self.ownership.borrow().list().map_or(MAX_REPLICAS, |list| list.replicas());
-        let sharers = u32::try_from(replicas).unwrap_or(u32::MAX);
+        let known = self.ownership.borrow().remembered(clock::now()).or_else(|| self.memory.get());
+        let replicas = known.map_or(MAX_REPLICAS, |remembered| remembered.replicas);
+        let sharers = u32::try_from(replicas).unwrap_or(u32::MAX).max(1);
         self.sharers.set(sharers);
         sharers
     }
@@ -130,6 +131,8 @@
 
     /// Puts a view in force that was made of the one in force.
     fn put_in_force(&self, ownership: Ownership, heard: &Heard) {
+        // Before anything is done under the new list.
+        self.write_down(&ownership);
         let before = self.ownership.replace(ownership);
         self.owned_shards.set(self.owned_shards.get() + heard.gained.len() - heard.lost.len());
         self.endpoint_list.forget(&heard.lost);
@@ -138,12 +141,14 @@
         }
     }
 
-    /// Writes down in which epoch nothing is on hold, for the next start.
+    /// Writes down what the next start has to know.
     fn remember(&self) {
-        let settled = self.ownership.borrow().settled(clock::now());
-        if let Some(settled) = settled
-            && let Err(e) = self.memory.keep(settled)
-        {
+        self.write_down(&self.ownership.borrow());
+    }
+
+    fn write_down(&self, ownership: &Ownership) {
+        let Some(remembered) = ownership.remembered(clock::now()) else { return };
+        if let Err(e) = self.memory.keep(remembered) {
             eprintln!(
                 "placement: the state folder can't be written: {e}; after a restart this sender waits as a new owner"
             );
--- a/crates/sender/tests/check.rs
+++ b/crates/sender/tests/check.rs
@@ -100,7 +100,7 @@
     let (code, out, err) = check(folder.path(), PLACEMENT, &["--config", "config.json"]);
     assert_eq!((code, err.as_str()), (Some(0), ""));
     let line = "placement: this is 'n0', takes forwarded requests at 10.0.0.10:7001, asks 10.0.0.1:7100, 10.0.0.2:7100 \
-                every 2s for a lease of 8s, keeps 64 connections to other members at most";
+                every 2s for a lease of 8s, agents are at most 0s behind, keeps 64 connections to other members at most";
     assert!(out.contains(line) && !out.contains("nothing is switched on"), "{out}");
     let (_, out, _) = check(folder.path(), PLACEMENT, &["--config", "config.json", "--json"]);
     let told: serde_json::Value = serde_json::from_str(&out).expect("JSON");
