--- a/crates/sender/tests/common/mod.rs
+++ b/crates/sender/tests/common/mod.rs
@@ -557,6 +557,11 @@
             }
             None => Command::new(EXECUTABLE),
         };
+        // The operator's options file, where a test has written one.
+        let options = self.folder.path().join("options.toml");
+        if options.exists() {
+            command.env("LB_OPTIONS", options);
+        }
         let child = command
             .env("LB_CONFIG", self.folder.path().join("config.json"))
             .env("LB_STATE", self.state())
