--- /dev/null
+++ b/crates/sender/tests/common/placement/clients.rs
@@ -0,0 +1,299 @@
+//! Clients that hand messages in at any sender and keep to the protocol: a refused message comes again under a new id,
+//! one that had no answer too, and no answer is waited for longer than the patience.
+
+use super::deployment::{DEADLINE, FLOW, TENANT, classes};
+use super::directory::Returned;
+use super::fleet::Fleet;
+use super::ledger::Ledger;
+use embershore_rehearsal::facts::Effect;
+use embershore_rehearsal::history::{Answered, Event};
+use embershore_rehearsal::span::Micros;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+
+/// How long a client waits for an answer.
+pub const PATIENCE: Duration = Duration::from_millis(400);
+/// The first wait after a refusal that tells none; each further one is twice as long.
+const WAIT_FIRST: Duration = Duration::from_millis(150);
+/// Doublings of that wait at most.
+const DOUBLINGS_MOST: u32 = 3;
+const BODY: &[u8] = b"hello";
+
+/// A message over all the times that it is handed in.
+#[derive(Clone, Debug)]
+pub struct Message {
+    pub origin: String,
+    pub class: usize,
+    pub destination: i64,
+    /// What it is about, in a class that keeps order.
+    pub order_key: Option<String>,
+    /// The sender that it is handed in at first.
+    pub entry: usize,
+    deadline: Micros,
+    times: u32,
+}
+
+/// What a client read.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Heard {
+    answered: Answered,
+    after_ms: Option<u64>,
+}
+
+impl Heard {
+    fn only(answered: Answered) -> Self {
+        Heard { answered, after_ms: None }
+    }
+
+    fn of(line: &str) -> Self {
+        match line.trim_end() {
+            "+OK" => Heard::only(Answered::Taken),
+            line => match line.strip_prefix("-BUSY") {
+                Some(rest) => Heard { answered: Answered::Busy, after_ms: rest.trim().parse().ok() },
+                None => Heard::only(Answered::Failed),
+            },
+        }
+    }
+}
+
+type Connection = BufReader<TcpStream>;
+
+/// All clients.
+pub struct Clients {
+    ledger: Rc<Ledger>,
+    fleet: Rc<Fleet>,
+    /// Connections without an open request, by sender.
+    idle: RefCell<Vec<Vec<Connection>>>,
+    /// Taken messages that a notice may still hand back.
+    taken: RefCell<HashMap<String, Message>>,
+    /// Messages that are being handed in, or wait to be.
+    busy: Cell<usize>,
+    handed_in: Cell<usize>,
+}
+
+/// What is handed in.
+#[derive(Clone, Debug)]
+pub struct Load {
+    /// Messages a second.
+    pub rate: u32,
+    pub lasting: Duration,
+    /// Indices of classes, in turn.
+    pub classes: Vec<usize>,
+    /// Destinations, in turn.
+    pub destinations: Vec<i64>,
+    /// Senders, in turn.
+    pub entries: Vec<usize>,
+}
+
+impl Load {
+    /// All classes to all destinations at all members.
+    pub fn of(fleet: &Fleet, rate: u32, lasting: Duration) -> Self {
+        Load {
+            rate,
+            lasting,
+            classes: (0..classes().len()).collect(),
+            destinations: (1..=fleet.deployment.destinations).collect(),
+            entries: (0..fleet.deployment.members).collect(),
+        }
+    }
+}
+
+/// Strides with which the n-th message picks from each list, so that all combinations come up.
+const DESTINATION_STRIDE: usize = 101;
+const ENTRY_STRIDE: usize = 7;
+/// Messages of a class that keeps order go to so few destinations that they meet.
+const ORDERED_DESTINATIONS: usize = 25;
+
+impl Clients {
+    pub fn new(
+        ledger: Rc<Ledger>,
+        fleet: Rc<Fleet>,
+        returned: mpsc::UnboundedReceiver<Returned>,
+    ) -> Rc<Self> {
+        let idle = RefCell::new((0..fleet.deployment.processes()).map(|_| Vec::new()).collect());
+        let (taken, busy, handed_in) = (RefCell::default(), Cell::new(0), Cell::new(0));
+        let clients = Rc::new(Clients { ledger, fleet, idle, taken, busy, handed_in });
+        tokio::task::spawn_local(clients.clone().hear_returns(returned));
+        clients
+    }
+
+    /// Hands in a load; each message at its time, however late other answers are.
+    pub async fn play(self: &Rc<Self>, load: &Load) {
+        let begun = tokio::time::Instant::now();
+        let gap = Duration::from_secs(1) / load.rate;
+        let count = (load.lasting.as_micros() / gap.as_micros()) as usize;
+        for n in 0..count {
+            tokio::time::sleep_until(begun + gap * n as u32).await;
+            let class = load.classes[n % load.classes.len()];
+            let turn = n / load.classes.len();
+            let reach = match class {
+                FLOW => load.destinations.len().min(ORDERED_DESTINATIONS),
+                _ => load.destinations.len(),
+            };
+            let destination = load.destinations[turn * DESTINATION_STRIDE % reach];
+            let entry = load.entries[n * ENTRY_STRIDE % load.entries.len()];
+            self.send(class, destination, entry);
+        }
+    }
+
+    /// Hands one message in at a sender, from a task of its own; its id.
+    pub fn send(self: &Rc<Self>, class: usize, destination: i64, entry: usize) -> String {
+        let message = self.new_message(class, destination, entry);
+        let id = message.origin.clone();
+        self.busy.set(self.busy.get() + 1);
+        tokio::task::spawn_local(self.clone().hand_in(message));
+        id
+    }
+
+    fn new_message(&self, class: usize, destination: i64, entry: usize) -> Message {
+        let number = self.handed_in.get();
+        self.handed_in.set(number + 1);
+        let order_key = (class == FLOW).then(|| format!("{destination:016x}"));
+        let deadline = self.ledger.now() + DEADLINE;
+        Message { origin: format!("m{number:05}"), class, destination, order_key, entry, deadline, times: 0 }
+    }
+
+    /// Waits until nothing is being handed in and what was taken has ended or run out of time.
+    pub async fn settle(&self) {
+        super::until("the clients' last answers", || self.busy.get() == 0).await;
+        // A notice falls due 0.3 s after its message's time.
+        let latest = self.ledger.now() + DEADLINE + 1_000_000;
+        while self.ledger.now() < latest && !self.all_ended() {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        super::until("the clients' last answers", || self.busy.get() == 0).await;
+    }
+
+    /// Each taken message has an answer of its receiver's or a notice.
+    fn all_ended(&self) -> bool {
+        super::verdict::unended(&self.ledger.records()).is_empty()
+    }
+
+    /// A message that was handed back after it had been taken on comes again too.
+    async fn hear_returns(self: Rc<Self>, mut returned: mpsc::UnboundedReceiver<Returned>) {
+        while let Some(Returned { id, after_ms }) = returned.recv().await {
+            let Some(message) = self.taken.borrow_mut().remove(&id) else { continue };
+            self.busy.set(self.busy.get() + 1);
+            tokio::task::spawn_local(self.clone().come_again(message, after_ms));
+        }
+    }
+
+    async fn hand_in(self: Rc<Self>, message: Message) {
+        let id = match message.times {
+            0 => message.origin.clone(),
+            times => format!("{}-{times}", message.origin),
+        };
+        if message.deadline - self.ledger.now() < 1000 {
+            self.busy.set(self.busy.get() - 1);
+            return;
+        }
+        // After no answer at one sender a client turns to another.
+        let entry = self.fleet.open_entry(message.entry + message.times as usize);
+        let request = self.offer(&message, &id, entry);
+        let Heard { answered, after_ms } = self.ask(entry, &request).await;
+        self.ledger.note(Event::Reply { id: id.clone(), answered, after_ms });
+        match answered {
+            Answered::Taken => {
+                self.taken.borrow_mut().insert(id, message);
+                self.busy.set(self.busy.get() - 1);
+            }
+            Answered::Failed | Answered::Left => self.busy.set(self.busy.get() - 1),
+            _ => Box::pin(self.come_again(message, after_ms)).await,
+        }
+    }
+
+    /// Hands one message in at a member's forward address, as another member would; its answer.
+    pub async fn forward(&self, class: usize, destination: i64, member: usize) -> Answered {
+        let message = self.new_message(class, destination, member);
+        let id = message.origin.clone();
+        let request = self.offer(&message, &id, member);
+        let asked = async {
+            let connection = open(self.fleet.relay(member).addr).await.ok()?;
+            self.exchange(connection, &request).await
+        };
+        let heard = tokio::time::timeout(PATIENCE, asked).await.ok().flatten();
+        let Heard { answered, after_ms } = heard.map_or(Heard::only(Answered::Silence), |(heard, _)| heard);
+        self.ledger.note(Event::Reply { id, answered, after_ms });
+        answered
+    }
+
+    /// Takes down that a message is handed in under an id; the request.
+    fn offer(&self, message: &Message, id: &str, sender: usize) -> Vec<u8> {
+        let class = &classes()[message.class];
+        let left = (message.deadline - self.ledger.now()) / 1000;
+        let key = (class.effect == Effect::Keyed).then(|| format!("k-{}", message.origin));
+        let mut fields = format!("c={},t={TENANT},d={left},dest={}", class.name, message.destination);
+        key.iter().for_each(|key| fields += &format!(",k={key}"));
+        if message.times > 0 {
+            fields += ",r=1";
+        }
+        self.ledger.note(Event::Offer {
+            sender,
+            id: id.into(),
+            origin: message.origin.clone(),
+            again: message.times,
+            class: message.class,
+            tenant: 0,
+            receiver: message.destination,
+            key,
+            order: message.order_key.clone(),
+            left: left * 1000,
+            due: self.ledger.now(),
+        });
+        let order_key = message.order_key.as_deref().unwrap_or("0000000000000000");
+        crate::common::resp(&[b"MSG.PUT", order_key.as_bytes(), id.as_bytes(), fields.as_bytes(), BODY])
+    }
+
+    /// Hands a message in once more after the wait that was told, or one of its own.
+    async fn come_again(self: Rc<Self>, mut message: Message, after_ms: Option<u64>) {
+        let own = WAIT_FIRST * (1 << message.times.min(DOUBLINGS_MOST));
+        tokio::time::sleep(after_ms.map_or(own, Duration::from_millis)).await;
+        message.times += 1;
+        self.hand_in(message).await;
+    }
+
+    async fn ask(&self, entry: usize, request: &[u8]) -> Heard {
+        let until = tokio::time::Instant::now() + PATIENCE;
+        let asked = tokio::time::timeout_at(until, self.ask_patiently(entry, request)).await;
+        asked.unwrap_or(Heard::only(Answered::Silence))
+    }
+
+    async fn ask_patiently(&self, entry: usize, request: &[u8]) -> Heard {
+        let kept = self.idle.borrow_mut()[entry].pop();
+        if let Some(connection) = kept
+            && let Some((heard, connection)) = self.exchange(connection, request).await
+        {
+            self.idle.borrow_mut()[entry].push(connection);
+            return heard;
+        }
+        // Closed between requests: the client sends it once more on a new connection.
+        let Ok(connection) = open(self.fleet.addr(entry)).await else {
+            return Heard::only(Answered::Unreachable);
+        };
+        let Some((heard, connection)) = self.exchange(connection, request).await else {
+            return Heard::only(Answered::Closed);
+        };
+        self.idle.borrow_mut()[entry].push(connection);
+        heard
+    }
+
+    /// Writes a request and reads its answer; nothing if the connection ended without one.
+    async fn exchange(&self, mut connection: Connection, request: &[u8]) -> Option<(Heard, Connection)> {
+        connection.get_mut().write_all(request).await.ok()?;
+        let mut line = String::new();
+        connection.read_line(&mut line).await.ok().filter(|count| *count > 0)?;
+        Some((Heard::of(&line), connection))
+    }
+}
+
+async fn open(addr: SocketAddr) -> std::io::Result<Connection> {
+    let stream = TcpStream::connect(addr).await?;
+    stream.set_nodelay(true)?;
+    Ok(BufReader::new(stream))
+}
--- /dev/null
+++ b/crates/sender/tests/common/placement/deployment.rs
@@ -0,0 +1,180 @@
+//! The deployment that all scenarios share: classes, settings, and what the judge must know of them.
+
+use embershore_rehearsal::facts::{Class, Effect, Facts, Receiver, Rules, Sender, Tenant};
+use embershore_rehearsal::span::Micros;
+use serde_json::{Value, json};
+use std::time::Duration;
+
+/// The tenant of all messages.
+pub const TENANT: &str = "acme";
+/// How long a receiver remembers an idempotency key.
+pub const KEY_WINDOW: Micros = 2_000_000;
+/// How long any message may be delivered.
+pub const DEADLINE: Micros = 2_500_000;
+/// How long a key rests after an attempt that may still run.
+const ORDER_SETTLE: Micros = 300_000;
+/// How long calls to a draining endpoint may still begin.
+const DRAIN_GRACE: Micros = 1_000_000;
+const ATTEMPTS_MOST: u32 = 6;
+const SLOTS: u32 = 40;
+
+/// What differs between scenarios.
+#[derive(Clone, Debug)]
+pub struct Deployment {
+    /// Members of the first list.
+    pub members: usize,
+    /// Processes that run and are in no list at first.
+    pub spares: usize,
+    /// Destinations, numbered from 1.
+    pub destinations: i64,
+    /// Owners of a destination.
+    pub replicas: usize,
+    /// For how long an answer of the control agent lets a sender take messages on as an owner.
+    pub lease: Duration,
+    /// How often a sender asks its control agent.
+    pub ask_every: Duration,
+    /// Messages that a sender may hold.
+    pub max_open: u32,
+}
+
+impl Default for Deployment {
+    fn default() -> Self {
+        Deployment {
+            members: 12,
+            spares: 0,
+            destinations: 300,
+            replicas: 2,
+            lease: Duration::from_secs(2),
+            ask_every: Duration::from_millis(250),
+            max_open: 400,
+        }
+    }
+}
+
+impl Deployment {
+    /// Processes in all.
+    pub fn processes(&self) -> usize {
+        self.members + self.spares
+    }
+
+    /// After the news of a gained destination, how long a sender takes nothing for it.
+    pub fn hold(&self) -> Duration {
+        self.lease + Duration::from_micros(DEADLINE as u64)
+    }
+
+    /// The `settings` of a sender's configuration.
+    pub fn settings(&self) -> Value {
+        let profile = |class: &Class| {
+            let effect = match class.effect {
+                Effect::Safe => "free",
+                Effect::Keyed => "guarded",
+                Effect::Unsafe => "single_shot",
+            };
+            json!({"Name": class.name, "Effect": effect, "Group": "all", "HardLimitUs": class.deadline,
+                   "ObjectiveUs": class.aim, "WindowUs": class.window, "Worth": class.worth,
+                   "LateShare": class.late_share, "SerialByKey": class.ordered})
+        };
+        json!({
+            "Azs": ["a", "b", "c"], "Balancers": 1, "Zone": 0, "QuantumUs": 5000,
+            "Customers": [{"Name": TENANT, "QuotaRps": 100_000.0}],
+            "FamilyInfo": {"BatchByKind": [1], "KindApart": [false], "Late": "line", "Workers": SLOTS},
+            "Limits": {"Cancel": true, "ConnectTimeoutUs": 1_000_000, "IdleCloseUs": 5_000_000,
+                       "MaxAttempts": ATTEMPTS_MOST, "MaxOpen": self.max_open, "MaxRetryAfterUs": 2_000_000,
+                       "Probes": false, "SecondCopies": false, "StreamsPerConn": 1},
+            "Profiles": classes().iter().map(profile).collect::<Vec<_>>(),
+            "Rules": {"DrainGraceUs": DRAIN_GRACE, "FallMultiple": 2.0, "FallUs": 2_000_000,
+                      "OrderSettleUs": ORDER_SETTLE, "ColdFrom": 0.5, "WarmUpUs": 1_000_000},
+            "Shapes": ["one"], "Weights": "nominal",
+        })
+    }
+
+    /// What the judge must know.
+    pub fn facts(&self, scenario: &str) -> Facts {
+        let receiver = |number| Receiver {
+            number,
+            kind: "one".into(),
+            apart: false,
+            capacity: 1_000.0,
+            rate: 1_000.0,
+            cold_from: 0.5,
+            warm_up: 1_000_000,
+        };
+        let sender = |index: usize| Sender {
+            name: name(index),
+            zone: zone(index).into(),
+            slots: SLOTS,
+            max_open: self.max_open,
+        };
+        Facts {
+            scenario: scenario.into(),
+            seed: 0,
+            length: 0,
+            rules: Rules {
+                drain_grace: DRAIN_GRACE,
+                fall_multiple: 2.0,
+                fall_window: 2_000_000,
+                max_attempts: ATTEMPTS_MOST,
+                second_copies: false,
+                batch_weight: 1.0,
+            },
+            over_share_worth: 0.5,
+            classes: classes(),
+            tenants: vec![Tenant { name: TENANT.into(), quota: 100_000.0 }],
+            receivers: (1..=self.destinations).map(receiver).collect(),
+            senders: (0..self.processes()).map(sender).collect(),
+        }
+    }
+
+    /// The first member list: of a new fleet, with nothing before it.
+    pub fn first_list(&self, addresses: &[String]) -> Value {
+        let seats = (0..self.members).map(|index| seat(index, &addresses[index]));
+        json!({
+            "epoch": 1, "scheme": 1, "replicas": self.replicas, "first": true,
+            "regions": [{"name": "r1", "share": 1}],
+            "seats": seats.collect::<Vec<_>>(), "wide": [],
+        })
+    }
+}
+
+/// A seat with its member.
+pub fn seat(index: usize, address: &str) -> Value {
+    let zone = zone(index);
+    json!({"region": "r1", "zone": zone, "rack": format!("{zone}{}", index / 3), "weight": 1.0,
+           "member": {"name": name(index), "address": address}})
+}
+
+/// The name of a sender.
+pub fn name(index: usize) -> String {
+    format!("n{index}")
+}
+
+fn zone(index: usize) -> &'static str {
+    ["a", "b", "c"][index % 3]
+}
+
+/// Classes by index: one for each effect, and one that keeps order.
+pub fn classes() -> Vec<Class> {
+    let class = |name: &str, effect: Effect, ordered: bool| Class {
+        name: name.into(),
+        effect,
+        window: KEY_WINDOW,
+        aim: 1_000_000,
+        deadline: DEADLINE,
+        worth: 1.0,
+        late_share: 0.5,
+        ordered,
+        order_settle: if ordered { ORDER_SETTLE } else { 0 },
+    };
+    vec![
+        class("push", Effect::Keyed, false),
+        class("sync", Effect::Safe, false),
+        class("pay", Effect::Unsafe, false),
+        class("flow", Effect::Keyed, true),
+    ]
+}
+
+/// Indices into [`classes`].
+pub const PUSH: usize = 0;
+pub const SYNC: usize = 1;
+pub const PAY: usize = 2;
+pub const FLOW: usize = 3;
--- /dev/null
+++ b/crates/sender/tests/common/placement/directory.rs
@@ -0,0 +1,187 @@
+//! The directory: tells each sender the endpoints of all destinations, at addresses of the sender's own, and takes its
+//! notices.
+
+use super::http::{self, Body};
+use super::ledger::Ledger;
+use bytes::Bytes;
+use embershore_rehearsal::history::{Ended, Event, Standing};
+use http_body_util::{BodyExt, channel::Channel};
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response};
+use serde::Deserialize;
+use serde_json::{Value, json};
+use std::cell::RefCell;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::{mpsc, watch};
+
+/// The version of the first list.
+const FIRST_INDEX: u64 = 7;
+/// How often a watch with no news says that it lives.
+const HEARTBEAT: Duration = Duration::from_millis(500);
+/// Pieces of a watch that wait to be written.
+const PIECES_MOST: usize = 16;
+
+/// Endpoints of the first list, and those that replace them.
+pub const GENERATIONS: usize = 2;
+
+/// What stands in the directory for one endpoint.
+#[derive(Clone, Debug)]
+struct Entry {
+    destination: i64,
+    generation: usize,
+    standing: Standing,
+    index: u64,
+}
+
+/// Addresses at which one sender reaches the endpoints, by generation.
+pub type Addresses = [SocketAddr; GENERATIONS];
+
+/// A notice that hands a message back to its client.
+#[derive(Clone, Debug)]
+pub struct Returned {
+    pub id: String,
+    pub after_ms: Option<u64>,
+}
+
+/// The directory of all senders.
+pub struct Directory {
+    ledger: Rc<Ledger>,
+    entries: RefCell<Vec<Entry>>,
+    index: watch::Sender<u64>,
+    returned: mpsc::UnboundedSender<Returned>,
+}
+
+#[derive(Deserialize)]
+struct Notice {
+    id: String,
+    state: Ended,
+    after_ms: Option<u64>,
+}
+
+/// The name of a destination's endpoint.
+pub fn endpoint_name(destination: i64, generation: usize) -> String {
+    format!("d{destination}-{generation}")
+}
+
+impl Directory {
+    /// A directory that lists one endpoint for each destination, and where clients hear of returned messages. The
+    /// queue is bounded by what the clients hand in.
+    pub fn new(ledger: Rc<Ledger>, destinations: i64) -> (Rc<Self>, mpsc::UnboundedReceiver<Returned>) {
+        let entry =
+            |destination| Entry { destination, generation: 0, standing: Standing::Ready, index: FIRST_INDEX };
+        let entries: Vec<Entry> = (1..=destinations).map(entry).collect();
+        for e in &entries {
+            let endpoint = endpoint_name(e.destination, e.generation);
+            ledger.note(Event::Endpoint { endpoint, receiver: e.destination, zone: "a".into() });
+        }
+        let (returned, queue) = mpsc::unbounded_channel();
+        let (index, entries) = (watch::Sender::new(FIRST_INDEX), RefCell::new(entries));
+        (Rc::new(Directory { ledger, entries, index, returned }), queue)
+    }
+
+    /// Starts the directory's agent of one sender.
+    pub async fn listen(self: &Rc<Self>, sender: usize, addresses: Addresses) -> SocketAddr {
+        let directory = self.clone();
+        http::serve(move |request| directory.clone().answer(sender, addresses, request)).await
+    }
+
+    /// Lists a new endpoint for a destination and lets the one that it has drain.
+    pub fn replace(&self, destination: i64) {
+        let index = self.index.borrow().to_owned() + 1;
+        let mut entries = self.entries.borrow_mut();
+        let old = entries.iter_mut().find(|e| e.destination == destination).unwrap();
+        (old.standing, old.index) = (Standing::Terminating, index);
+        let generation = old.generation + 1;
+        assert!(generation < GENERATIONS, "an endpoint is replaced once");
+        entries.push(Entry { destination, generation, standing: Standing::Ready, index });
+        drop(entries);
+        let endpoint = endpoint_name(destination, generation);
+        self.ledger.note(Event::Endpoint { endpoint, receiver: destination, zone: "a".into() });
+        self.index.send_replace(index);
+    }
+
+    async fn answer(
+        self: Rc<Self>,
+        sender: usize,
+        addresses: Addresses,
+        request: Request<Incoming>,
+    ) -> Response<Body> {
+        if request.method() == Method::POST {
+            return self.take_notices(sender, request).await;
+        }
+        if request.uri().path() != "/v1/servers" {
+            return http::empty(404);
+        }
+        if !request.uri().query().unwrap_or_default().contains("follow") {
+            return http::whole(200, self.tell(sender, addresses, None).to_string());
+        }
+        let since = http::query_number(&request, "since").filter(|s| *s >= FIRST_INDEX);
+        let (pieces, body) = Channel::new(PIECES_MOST);
+        tokio::task::spawn_local(self.follow(sender, addresses, since, pieces));
+        Response::new(body.boxed())
+    }
+
+    async fn follow(
+        self: Rc<Self>,
+        sender: usize,
+        addresses: Addresses,
+        mut known: Option<u64>,
+        mut out: http_body_util::channel::Sender<Bytes, Infallible>,
+    ) {
+        let mut changed = self.index.subscribe();
+        let mut first = true;
+        loop {
+            let index = *changed.borrow_and_update();
+            let text = if first || known != Some(index) {
+                format!("{}\n", self.tell(sender, addresses, known))
+            } else {
+                "\n".to_string()
+            };
+            (known, first) = (Some(index), false);
+            if out.send_data(text.into()).await.is_err() {
+                return;
+            }
+            _ = tokio::time::timeout(HEARTBEAT, changed.changed()).await;
+        }
+    }
+
+    /// The list for one sender: whole, or what changed since a version.
+    fn tell(&self, sender: usize, addresses: Addresses, since: Option<u64>) -> Value {
+        let (entries, index) = (self.entries.borrow(), *self.index.borrow());
+        let news: Vec<&Entry> = entries.iter().filter(|e| since.is_none_or(|s| e.index > s)).collect();
+        let lines = news.iter().map(|e| (endpoint_name(e.destination, e.generation), e.standing)).collect();
+        self.ledger.note(Event::Told { sender, index, whole: since.is_none(), lines });
+        let line = |e: &&Entry| {
+            let addr = addresses[e.generation];
+            let name = endpoint_name(e.destination, e.generation);
+            crate::common::line(&name, addr, "one", e.destination, status(e.standing))
+        };
+        let endpoints: Vec<Value> = news.iter().map(line).collect();
+        json!({"index": index, "snapshot": since.is_none(), "endpoints": endpoints})
+    }
+
+    async fn take_notices(&self, sender: usize, request: Request<Incoming>) -> Response<Body> {
+        let Some(body) = http::read_body(request).await else { return http::empty(400) };
+        let lines = body.split(|b| *b == b'\n').filter(|line| !line.is_empty());
+        let notices: Result<Vec<Notice>, _> = lines.map(serde_json::from_slice).collect();
+        let Ok(notices) = notices else { return http::empty(400) };
+        for Notice { id, state, after_ms } in notices {
+            self.ledger.note(Event::Notice { sender, id: id.clone(), state, after_ms });
+            if state == Ended::Returned {
+                _ = self.returned.send(Returned { id, after_ms });
+            }
+        }
+        http::empty(204)
+    }
+}
+
+fn status(standing: Standing) -> &'static str {
+    match standing {
+        Standing::Ready => "Ready",
+        Standing::Terminating => "Terminating",
+        Standing::Gone => "Gone",
+    }
+}
--- /dev/null
+++ b/crates/sender/tests/common/placement/fleet.rs
@@ -0,0 +1,323 @@
+//! The fleet's processes, and the stand-ins around them.
+
+use super::clients::Clients;
+use super::control::Control;
+use super::deployment::{Deployment, name};
+use super::directory::Directory;
+use super::ledger::Ledger;
+use super::receivers::Receivers;
+use super::relay::Relay;
+use embershore_rehearsal::history::{Event, Signal};
+use serde_json::{Value, json};
+use std::cell::{Cell, RefCell};
+use std::fs::File;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpSocket, TcpStream};
+
+/// Kept connections from one sender to one owner at most.
+const OWNER_CONNECTIONS: usize = 4;
+/// How often processes that end by themselves are looked for.
+const LOOK_EVERY: Duration = Duration::from_millis(20);
+/// How often the rig looks whether it stands still itself, and how often it says so.
+const BEAT: Duration = Duration::from_millis(5);
+const BEATS_TOLD: u32 = 100;
+
+/// An address that keeps its port over a process's restarts: bound, and not listening.
+struct Reserved {
+    addr: SocketAddr,
+    _socket: TcpSocket,
+}
+
+impl Reserved {
+    fn new() -> Self {
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.set_reuseaddr(true).unwrap();
+        socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+        Reserved { addr: socket.local_addr().unwrap(), _socket: socket }
+    }
+}
+
+/// One sender.
+struct Process {
+    index: usize,
+    folder: PathBuf,
+    clients: Reserved,
+    door: Reserved,
+    relay: Rc<Relay>,
+    child: RefCell<Option<Child>>,
+    /// Clients are not sent to it.
+    closed: Cell<bool>,
+}
+
+/// All senders.
+pub struct Fleet {
+    pub deployment: Deployment,
+    ledger: Rc<Ledger>,
+    folder: tempfile::TempDir,
+    processes: Vec<Process>,
+}
+
+/// A scenario's fleet and its stand-ins.
+pub struct Stage {
+    pub ledger: Rc<Ledger>,
+    pub control: Rc<Control>,
+    pub directory: Rc<Directory>,
+    pub receivers: Rc<Receivers>,
+    pub fleet: Rc<Fleet>,
+    pub clients: Rc<Clients>,
+}
+
+impl Stage {
+    /// Starts the stand-ins and all processes, and waits until they are ready.
+    pub async fn start(deployment: Deployment) -> Stage {
+        Stage::start_with(deployment, true).await
+    }
+
+    /// The same with processes whose operators have not switched placement on.
+    pub async fn start_without_placement(deployment: Deployment) -> Stage {
+        Stage::start_with(deployment, false).await
+    }
+
+    async fn start_with(deployment: Deployment, placed: bool) -> Stage {
+        let stage = Stage::prepare(deployment, placed).await;
+        (0..stage.fleet.processes.len()).for_each(|index| stage.fleet.spawn(index));
+        for index in 0..stage.fleet.processes.len() {
+            stage.fleet.wait_ready(index).await;
+        }
+        stage
+    }
+
+    /// Starts the stand-ins and writes the processes' files.
+    async fn prepare(deployment: Deployment, placed: bool) -> Stage {
+        let ledger = Rc::new(Ledger::new());
+        let (directory, returned) = Directory::new(ledger.clone(), deployment.destinations);
+        let (control, receivers) = (Control::new(), Receivers::new(ledger.clone()));
+        let folder = tempfile::tempdir().unwrap();
+        let mut processes = Vec::new();
+        for index in 0..deployment.processes() {
+            let (clients, door, forward) = (Reserved::new(), Reserved::new(), Reserved::new());
+            let addresses = receivers.listen(index).await;
+            let discovery = directory.listen(index, addresses).await;
+            let files = Files { deployment: &deployment, index, folder: folder.path().join(name(index)) };
+            files.write_config(clients.addr, discovery);
+            let agent = control.listen().await;
+            if placed {
+                files.write_options(forward.addr, agent);
+            }
+            let relay = Relay::start(forward.addr).await;
+            let (child, closed) = (RefCell::default(), Cell::new(false));
+            processes.push(Process { index, folder: files.folder, clients, door, relay, child, closed });
+        }
+        let addresses: Vec<String> = processes.iter().map(|p| p.relay.addr.to_string()).collect();
+        control.begin(deployment.first_list(&addresses));
+        let fleet = Rc::new(Fleet { deployment, ledger: ledger.clone(), folder, processes });
+        tokio::task::spawn_local(watch_exits(fleet.clone()));
+        tokio::task::spawn_local(beat(ledger.clone()));
+        let clients = Clients::new(ledger.clone(), fleet.clone(), returned);
+        Stage { ledger, control, directory, receivers, fleet, clients }
+    }
+}
+
+/// The files of one sender.
+struct Files<'a> {
+    deployment: &'a Deployment,
+    index: usize,
+    folder: PathBuf,
+}
+
+impl Files<'_> {
+    fn write_config(&self, listen: SocketAddr, discovery: SocketAddr) {
+        std::fs::create_dir_all(self.folder.join("state")).unwrap();
+        let config = json!({
+            "name": name(self.index), "listen": listen.to_string(), "discovery": discovery.to_string(),
+            "seed": format!("{:016x}", self.index + 1),
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 2048, "disk_mb": 3},
+            "known": {"index": 0, "snapshot": true, "endpoints": []},
+            "settings": self.deployment.settings(),
+        });
+        std::fs::write(self.folder.join("config.json"), config.to_string()).unwrap();
+    }
+
+    fn write_options(&self, listen: SocketAddr, control: SocketAddr) {
+        let Deployment { lease, ask_every, .. } = self.deployment;
+        let text = format!(
+            "[placement]\nname = \"{}\"\nlisten = \"{listen}\"\ncontrol = [\"{control}\"]\nlease = \"{}ms\"\n\
+             ask_every = \"{}ms\"\nowner_connections = {OWNER_CONNECTIONS}\n",
+            name(self.index),
+            lease.as_millis(),
+            ask_every.as_millis(),
+        );
+        std::fs::write(self.folder.join("options.toml"), text).unwrap();
+    }
+}
+
+impl Process {
+    fn is(&self, status: impl Fn(&mut Child) -> bool) -> bool {
+        self.child.borrow_mut().as_mut().is_some_and(status)
+    }
+}
+
+impl Fleet {
+    /// Where clients reach a sender.
+    pub fn addr(&self, index: usize) -> SocketAddr {
+        self.processes[index].clients.addr
+    }
+
+    /// The relay before a sender's forward address.
+    pub fn relay(&self, index: usize) -> &Relay {
+        &self.processes[index].relay
+    }
+
+    /// The address that stands for a sender in the member list.
+    pub fn address(&self, index: usize) -> String {
+        self.processes[index].relay.addr.to_string()
+    }
+
+    /// Where a sender keeps its state.
+    pub fn state(&self, index: usize) -> PathBuf {
+        self.processes[index].folder.join("state")
+    }
+
+    /// The sender at which a client of this one is let in.
+    pub fn open_entry(&self, wanted: usize) -> usize {
+        let count = self.processes.len();
+        let mut candidates = (0..count).map(|n| (wanted + n) % count);
+        candidates.find(|n| !self.processes[*n].closed.get()).unwrap_or(wanted % count)
+    }
+
+    /// Whether clients are let in at a sender.
+    pub fn let_clients_in(&self, index: usize, open: bool) {
+        self.processes[index].closed.set(!open);
+    }
+
+    /// Starts a process on what its folder holds.
+    pub fn spawn(&self, index: usize) {
+        let process = &self.processes[index];
+        let log = File::options().create(true).append(true).open(process.folder.join("log")).unwrap();
+        let options = process.folder.join("options.toml");
+        let mut command = Command::new(env!("CARGO_BIN_EXE_embershore"));
+        if options.exists() {
+            command.env("LB_OPTIONS", options);
+        }
+        command
+            .env("LB_CONFIG", process.folder.join("config.json"))
+            .env("LB_STATE", process.folder.join("state"))
+            .env("LB_MGMT", process.door.addr.to_string())
+            .stdin(Stdio::null())
+            .stderr(log);
+        *process.child.borrow_mut() = Some(command.spawn().unwrap());
+    }
+
+    /// Waits until a process answers its clients and says that it is ready.
+    pub async fn wait_ready(&self, index: usize) {
+        let begun = tokio::time::Instant::now();
+        while !self.answers(index).await {
+            assert!(begun.elapsed() < crate::common::LIMIT, "not ready: {}", self.log(index));
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        self.ledger.note(Event::Ready { sender: index });
+    }
+
+    async fn answers(&self, index: usize) -> bool {
+        let asked = async {
+            let mut stream = TcpStream::connect(self.addr(index)).await.ok()?;
+            stream.write_all(&crate::common::resp(&[b"PING"])).await.ok()?;
+            let mut answer = [0; 7];
+            stream.read_exact(&mut answer).await.ok()?;
+            (&answer == b"+PONG\r\n").then_some(())
+        };
+        tokio::time::timeout(Duration::from_secs(2), asked).await.is_ok_and(|a| a.is_some())
+    }
+
+    /// SIGKILL; waits until the process has ended.
+    pub fn kill(&self, index: usize) {
+        self.ledger.note(Event::Signal { sender: index, signal: Signal::Kill });
+        let mut child = self.processes[index].child.take().unwrap();
+        child.kill().unwrap();
+        let how = child.wait().unwrap().to_string();
+        self.ledger.note(Event::Exited { sender: index, planned: true, how });
+    }
+
+    /// SIGSTOP.
+    pub fn stop(&self, index: usize) {
+        self.ledger.note(Event::Signal { sender: index, signal: Signal::Stop });
+        self.signal(index, "-STOP");
+    }
+
+    /// SIGCONT.
+    pub fn go_on(&self, index: usize) {
+        self.signal(index, "-CONT");
+        self.ledger.note(Event::Signal { sender: index, signal: Signal::Cont });
+    }
+
+    fn signal(&self, index: usize, signal: &str) {
+        crate::common::signal(self.processes[index].child.borrow().as_ref().unwrap(), signal);
+    }
+
+    /// The figures that a sender tells its operators.
+    pub async fn figures(&self, index: usize) -> Value {
+        let asked = async {
+            let mut stream = TcpStream::connect(self.processes[index].door.addr).await.ok()?;
+            stream.write_all(b"GET /_vars HTTP/1.1\r\nhost: door\r\n\r\n").await.ok()?;
+            let mut answer = String::new();
+            stream.read_to_string(&mut answer).await.ok()?;
+            serde_json::from_str(answer.split_once("\r\n\r\n")?.1).ok()
+        };
+        let answer = tokio::time::timeout(crate::common::LIMIT, asked).await;
+        answer.ok().flatten().unwrap_or_else(|| panic!("no figures: {}", self.log(index)))
+    }
+
+    /// What a process wrote.
+    pub fn log(&self, index: usize) -> String {
+        let text = std::fs::read_to_string(self.processes[index].folder.join("log")).unwrap_or_default();
+        format!("{}'s log:\n{text}", name(index))
+    }
+
+    /// The folder of all senders.
+    pub fn folder(&self) -> &Path {
+        self.folder.path()
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        for process in &self.processes {
+            if let Some(mut child) = process.child.take() {
+                _ = child.kill();
+                _ = child.wait();
+            }
+        }
+    }
+}
+
+/// Takes down processes that end by themselves.
+async fn watch_exits(fleet: Rc<Fleet>) {
+    loop {
+        for process in &fleet.processes {
+            if process.is(|child| matches!(child.try_wait(), Ok(Some(_)))) {
+                let how = format!("it ended by itself; {}", fleet.log(process.index));
+                *process.child.borrow_mut() = None;
+                fleet.ledger.note(Event::Exited { sender: process.index, planned: false, how });
+            }
+        }
+        tokio::time::sleep(LOOK_EVERY).await;
+    }
+}
+
+/// Takes down how late the stand-ins' own timers are.
+async fn beat(ledger: Rc<Ledger>) {
+    loop {
+        let mut max_us = 0;
+        for _ in 0..BEATS_TOLD {
+            let due = tokio::time::Instant::now() + BEAT;
+            tokio::time::sleep_until(due).await;
+            max_us = max_us.max(due.elapsed().as_micros() as i64);
+        }
+        ledger.note(Event::Lag { max_us });
+    }
+}
--- /dev/null
+++ b/crates/sender/tests/common/placement/http.rs
@@ -0,0 +1,64 @@
+//! HTTP/1.1 servers on loopback ports that the system gives.
+
+use bytes::Bytes;
+use http_body_util::combinators::BoxBody;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use tokio::net::TcpListener;
+
+pub type Body = BoxBody<Bytes, Infallible>;
+
+/// Listens on a port of the system's choice and answers each request by `answer`, for as long as the runtime lives.
+pub async fn serve<F, A>(answer: F) -> SocketAddr
+where
+    F: Fn(Request<Incoming>) -> A + Clone + 'static,
+    A: Future<Output = Response<Body>> + 'static,
+{
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    tokio::task::spawn_local(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            _ = stream.set_nodelay(true);
+            let answer = answer.clone();
+            let service = service_fn(move |request| {
+                let answered = answer(request);
+                async move { Ok::<_, Infallible>(answered.await) }
+            });
+            tokio::task::spawn_local(async move {
+                // A process that is killed breaks its connections off; that is no fault here.
+                _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+            });
+        }
+    });
+    addr
+}
+
+/// An answer with a body.
+pub fn whole(status: u16, body: impl Into<Bytes>) -> Response<Body> {
+    let mut response = Response::new(Full::new(body.into()).boxed());
+    *response.status_mut() = status.try_into().unwrap();
+    response
+}
+
+/// An answer without a body.
+pub fn empty(status: u16) -> Response<Body> {
+    whole(status, Bytes::new())
+}
+
+/// The number that a query names.
+pub fn query_number(request: &Request<Incoming>, name: &str) -> Option<u64> {
+    let query = request.uri().query()?;
+    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.find(|(n, _)| *n == name)?.1.parse().ok()
+}
+
+/// What a request carries.
+pub async fn read_body(request: Request<Incoming>) -> Option<Bytes> {
+    Some(request.into_body().collect().await.ok()?.to_bytes())
+}
--- /dev/null
+++ b/crates/sender/tests/common/placement/ledger.rs
@@ -0,0 +1,60 @@
+//! What all stand-ins saw, in the form of the rehearsal kit's history.
+
+use embershore_rehearsal::history::{Event, Record};
+use embershore_rehearsal::span::Micros;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::time::Instant;
+
+/// The records of one scenario, and what the stand-ins must know of a message by its id.
+pub struct Ledger {
+    begun: Instant,
+    records: RefCell<Vec<Record>>,
+    calls: Cell<u64>,
+    destinations: RefCell<HashMap<String, i64>>,
+}
+
+impl Ledger {
+    pub fn new() -> Self {
+        Ledger {
+            begun: Instant::now(),
+            records: RefCell::default(),
+            calls: Cell::new(0),
+            destinations: RefCell::default(),
+        }
+    }
+
+    /// Microseconds since the scenario began.
+    pub fn now(&self) -> Micros {
+        self.begun.elapsed().as_micros() as Micros
+    }
+
+    /// Takes down what is seen now.
+    pub fn note(&self, event: Event) {
+        if let Event::Offer { id, receiver, .. } = &event {
+            self.destinations.borrow_mut().insert(id.clone(), *receiver);
+        }
+        self.records.borrow_mut().push(Record { t: self.now(), event });
+    }
+
+    /// A number for the next call that a receiver takes.
+    pub fn next_call(&self) -> u64 {
+        self.calls.set(self.calls.get() + 1);
+        self.calls.get()
+    }
+
+    /// The destination of a message that a client has handed in.
+    pub fn destination(&self, id: &str) -> Option<i64> {
+        self.destinations.borrow().get(id).copied()
+    }
+
+    /// All that was seen so far.
+    pub fn records(&self) -> Vec<Record> {
+        self.records.borrow().clone()
+    }
+
+    /// How many records hold.
+    pub fn count(&self, holds: impl Fn(&Event) -> bool) -> usize {
+        self.records.borrow().iter().filter(|r| holds(&r.event)).count()
+    }
+}
--- /dev/null
+++ b/crates/sender/tests/common/placement/receivers.rs
@@ -0,0 +1,152 @@
+//! The receivers of all destinations. Each sender reaches them at addresses of its own, so that every call says whose
+//! it is; the destination is that of the message which the call carries.
+
+use super::deployment::KEY_WINDOW;
+use super::directory::{Addresses, GENERATIONS, endpoint_name};
+use super::http::{self, Body};
+use super::ledger::Ledger;
+use embershore_rehearsal::history::{By, Event, Item};
+use embershore_rehearsal::span::Micros;
+use hyper::body::Incoming;
+use hyper::{Request, Response};
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// How long a receiver takes where it was not told otherwise.
+const USUAL: Duration = Duration::from_millis(5);
+
+/// What a receiver does with calls.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum Conduct {
+    /// Carries each out and says so.
+    #[default]
+    Well,
+    /// The same, but so much slower.
+    Slow(Duration),
+    /// Carries each out and answers 500.
+    FailAfter,
+    /// Turns each away with 503 before it carries it out.
+    Refuse,
+    /// Turns the next call away and tells the sender to wait; is well again after it.
+    WaitOnce(Duration),
+}
+
+/// All receivers.
+pub struct Receivers {
+    ledger: Rc<Ledger>,
+    conduct: RefCell<HashMap<i64, Conduct>>,
+    usual: Cell<Duration>,
+    /// When each idempotency key took effect.
+    keys: RefCell<HashMap<String, Micros>>,
+}
+
+/// A call that was begun: it is taken down as broken off unless it is answered.
+struct OpenCall<'a> {
+    ledger: &'a Ledger,
+    call: u64,
+    answered: bool,
+}
+
+impl OpenCall<'_> {
+    fn answer(&mut self, status: u16, wait: Duration) {
+        self.answered = true;
+        let wait_ms = wait.as_millis() as u32;
+        self.ledger.note(Event::Answer { call: self.call, status, wait_ms, states: None });
+    }
+}
+
+impl Drop for OpenCall<'_> {
+    fn drop(&mut self) {
+        if !self.answered {
+            self.ledger.note(Event::Broke { call: self.call, by: By::Sender });
+        }
+    }
+}
+
+impl Receivers {
+    pub fn new(ledger: Rc<Ledger>) -> Rc<Self> {
+        let (conduct, keys) = (RefCell::default(), RefCell::default());
+        Rc::new(Receivers { ledger, conduct, usual: Cell::new(USUAL), keys })
+    }
+
+    /// Opens the addresses at which one sender reaches the endpoints.
+    pub async fn listen(self: &Rc<Self>, sender: usize) -> Addresses {
+        let mut addresses = [SocketAddr::from(([127, 0, 0, 1], 0)); GENERATIONS];
+        for (generation, address) in addresses.iter_mut().enumerate() {
+            let receivers = self.clone();
+            *address = http::serve(move |request| receivers.clone().take(sender, generation, request)).await;
+        }
+        addresses
+    }
+
+    /// Tells the receiver of a destination what to do from now on.
+    pub fn conduct(&self, destination: i64, conduct: Conduct) {
+        self.conduct.borrow_mut().insert(destination, conduct);
+    }
+
+    /// How long all others take from now on.
+    pub fn take_usually(&self, time: Duration) {
+        self.usual.set(time);
+    }
+
+    async fn take(
+        self: Rc<Self>,
+        sender: usize,
+        generation: usize,
+        request: Request<Incoming>,
+    ) -> Response<Body> {
+        let first = self.ledger.now();
+        let header = |name: &str| Some(request.headers().get(name)?.to_str().ok()?.to_string());
+        let Some(id) = header("x-request-id") else { return http::empty(200) };
+        let key = header("idempotency-key");
+        if http::read_body(request).await.is_none() {
+            return http::empty(400);
+        }
+        // A message that no client has handed in is no one's.
+        let Some(destination) = self.ledger.destination(&id) else { return http::empty(400) };
+        let call = self.ledger.next_call();
+        let endpoint = endpoint_name(destination, generation);
+        let items = vec![Item { id: id.clone(), key: key.clone() }];
+        let (fresh, batch) = (false, false);
+        self.ledger.note(Event::Call { call, sender, endpoint, first, fresh, batch, items });
+        let mut open = OpenCall { ledger: &self.ledger, call, answered: false };
+        let conduct = self.conduct.borrow().get(&destination).copied().unwrap_or_default();
+        match conduct {
+            Conduct::Refuse => {
+                open.answer(503, Duration::ZERO);
+                return http::empty(503);
+            }
+            Conduct::WaitOnce(wait) => {
+                self.conduct(destination, Conduct::Well);
+                open.answer(429, wait);
+                let mut response = http::empty(429);
+                let told = wait.as_millis().to_string().parse().unwrap();
+                response.headers_mut().insert("x-retry-in-ms", told);
+                return response;
+            }
+            Conduct::Slow(time) => tokio::time::sleep(time).await,
+            Conduct::Well | Conduct::FailAfter => tokio::time::sleep(self.usual.get()).await,
+        }
+        let dropped = key.is_some_and(|key| !self.is_new(key));
+        self.ledger.note(Event::Ran { call, id, dropped });
+        let status = if conduct == Conduct::FailAfter { 500 } else { 200 };
+        open.answer(status, Duration::ZERO);
+        http::empty(status)
+    }
+
+    /// Remembers a key; false if it was remembered already, within the window from its first effect on.
+    fn is_new(&self, key: String) -> bool {
+        let now = self.ledger.now();
+        let mut keys = self.keys.borrow_mut();
+        match keys.get(&key) {
+            Some(since) if now - since < KEY_WINDOW => false,
+            _ => {
+                keys.insert(key, now);
+                true
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/sender/tests/placement_standins.rs
@@ -0,0 +1,229 @@
+//! The stand-ins of the placement tests, tried against each other and against one sender: what they are to show must
+//! not hang on an error of their own.
+
+mod common;
+#[path = "common/placement/mod.rs"]
+mod placement;
+
+use common::LIMIT;
+use embershore_rehearsal::history::{Answered, By, Ended, Event, Item, Signal};
+use embershore_rehearsal::judge::Rule;
+use placement::clients::Load;
+use placement::control::Control;
+use placement::deployment::{Deployment, PAY, PUSH, SYNC, seat};
+use placement::fleet::Stage;
+use placement::ledger::Ledger;
+use placement::relay::{Mode, Relay};
+use placement::verdict::Findings;
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+/// The destination whose receiver once tells its sender to wait.
+const WAITING: i64 = 3;
+
+async fn get(addr: SocketAddr, path: &str) -> Value {
+    let mut stream = TcpStream::connect(addr).await.unwrap();
+    let request = format!("GET {path} HTTP/1.1\r\nhost: agent\r\nconnection: close\r\n\r\n");
+    stream.write_all(request.as_bytes()).await.unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await.unwrap();
+    serde_json::from_str(answer.split_once("\r\n\r\n").unwrap().1).unwrap()
+}
+
+#[test]
+fn an_agent_tells_the_whole_list_changes_or_nothing_new() {
+    placement::run(async {
+        let control = Control::new();
+        let (prompt, late) = (control.listen().await, control.listen().await);
+        let deployment = Deployment { members: 3, ..Deployment::default() };
+        let addresses: Vec<String> = (1..=3).map(|n| format!("127.0.0.1:{n}")).collect();
+        control.begin(deployment.first_list(&addresses));
+        let whole = get(prompt, "/v1/members").await;
+        assert_eq!((&whole["epoch"], &whole["first"]), (&json!(1), &json!(true)));
+        assert_eq!(whole["seats"].as_array().unwrap().len(), 3);
+        let nothing = json!({"epoch": 1, "since": 1, "changes": []});
+        assert_eq!(get(prompt, "/v1/members?since=1").await, nothing);
+
+        control.delay(1, LIMIT);
+        let (vacated, added) =
+            (json!({"seat": 0, "member": null}), json!({"append": seat(3, "127.0.0.1:4")}));
+        assert_eq!(control.change(vec![vacated.clone()]), 2);
+        assert_eq!(control.change(vec![added.clone()]), 3);
+        let news = json!({"epoch": 3, "since": 1, "changes": [vacated, added]});
+        assert_eq!(get(prompt, "/v1/members?since=1").await, news);
+        assert_eq!(get(late, "/v1/members?since=1").await, nothing);
+        // A sender that knows more than its agent is told the agent's list.
+        assert_eq!(get(late, "/v1/members?since=3").await["epoch"], 1);
+        let whole = get(prompt, "/v1/members?since=9").await;
+        assert_eq!((&whole["epoch"], &whole["first"]), (&json!(3), &json!(false)));
+        assert_eq!(whole["seats"][0]["member"], Value::Null);
+        assert_eq!(whole["seats"][3]["member"]["name"], "n3");
+
+        control.answer_instead(0, Some(json!({"epoch": 0})));
+        assert_eq!(get(prompt, "/v1/members?since=3").await["epoch"], 0);
+        control.silence(0, true);
+        let asked = tokio::time::timeout(Duration::from_millis(200), get(prompt, "/v1/members"));
+        assert!(asked.await.is_err());
+    });
+}
+
+/// An owner that answers each request with `+OK`, and what it has read.
+async fn owner() -> (SocketAddr, tokio::sync::mpsc::UnboundedReceiver<Vec<u8>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    let (read, queue) = tokio::sync::mpsc::unbounded_channel();
+    tokio::task::spawn_local(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let read = read.clone();
+            tokio::task::spawn_local(async move {
+                let mut piece = [0; 4096];
+                while let Ok(count @ 1..) = stream.read(&mut piece).await {
+                    _ = read.send(piece[..count].to_vec());
+                    _ = stream.write_all(b"+OK\r\n").await;
+                }
+            });
+        }
+    });
+    (addr, queue)
+}
+
+/// What comes back of a request by the relay; nothing if the connection ended.
+async fn ask(relay: &Relay, request: &[u8]) -> Option<String> {
+    let mut stream = TcpStream::connect(relay.addr).await.unwrap();
+    stream.write_all(request).await.ok()?;
+    let mut answer = [0; 64];
+    let count = stream.read(&mut answer).await.ok().filter(|count| *count > 0)?;
+    Some(String::from_utf8_lossy(&answer[..count]).into_owned())
+}
+
+#[test]
+fn a_relay_passes_delays_and_cuts_before_and_after_a_request() {
+    placement::run(async {
+        let (addr, mut read) = owner().await;
+        let relay = Relay::start(addr).await;
+        let request = common::put("a1", "c=pay,t=acme,d=1000,dest=1", b"hello");
+        assert_eq!(ask(&relay, &request).await.as_deref(), Some("+OK\r\n"));
+        assert_eq!(read.recv().await.unwrap(), request);
+
+        relay.set(Mode::CutAfterRequest);
+        assert_eq!(ask(&relay, &request).await, None);
+        assert_eq!(read.recv().await.unwrap(), request);
+        assert_eq!((relay.passed(), relay.cut()), (2, 1));
+
+        relay.set(Mode::CutBefore);
+        assert_eq!(ask(&relay, &request).await, None);
+        assert!(read.try_recv().is_err());
+
+        relay.set(Mode::Delay(Duration::from_millis(100)));
+        let begun = tokio::time::Instant::now();
+        assert_eq!(ask(&relay, &request).await.as_deref(), Some("+OK\r\n"));
+        assert!(begun.elapsed() >= Duration::from_millis(100));
+        assert_eq!((relay.passed(), relay.cut()), (3, 1));
+    });
+}
+
+/// Takes down that a message is handed in and answered.
+fn hand_in(ledger: &Ledger, id: &str, class: usize, answered: Answered) {
+    ledger.note(Event::Offer {
+        sender: 0,
+        id: id.into(),
+        origin: id.into(),
+        again: 0,
+        class,
+        tenant: 0,
+        receiver: 1,
+        key: None,
+        order: None,
+        left: 1_000_000,
+        due: ledger.now(),
+    });
+    ledger.note(Event::Reply { id: id.into(), answered, after_ms: None });
+}
+
+/// Takes down that a sender delivers a message.
+fn deliver(ledger: &Ledger, id: &str, sender: usize) {
+    let (call, items) = (ledger.next_call(), vec![Item { id: id.into(), key: None }]);
+    let (first, fresh, batch) = (ledger.now(), false, false);
+    ledger.note(Event::Call { call, sender, endpoint: "d1-0".into(), first, fresh, batch, items });
+    ledger.note(Event::Ran { call, id: id.into(), dropped: false });
+    ledger.note(Event::Answer { call, status: 200, wait_ms: 0, states: None });
+}
+
+fn judged(ledger: &Ledger) -> Findings {
+    Findings::of("made up", &Deployment::default(), ledger)
+}
+
+#[test]
+fn the_verdict_finds_second_owners_double_effects_and_what_has_no_end() {
+    let ledger = Ledger::new();
+    ledger.note(Event::Endpoint { endpoint: "d1-0".into(), receiver: 1, zone: "a".into() });
+    hand_in(&ledger, "kept", PAY, Answered::Taken);
+    deliver(&ledger, "kept", 3);
+    hand_in(&ledger, "ended", PAY, Answered::Taken);
+    ledger.note(Event::Notice { sender: 2, id: "ended".into(), state: Ended::Failed, after_ms: None });
+    hand_in(&ledger, "refused", PAY, Answered::Busy);
+    let good = judged(&ledger);
+    good.assert_kept(&[Rule::NoMessageLost]);
+    assert_eq!((good.origins(), good.delivered(), good.forwarded(&ledger)), (3, 1, 1));
+    assert_eq!(good.answers().busy, 1);
+
+    hand_in(&ledger, "safe", SYNC, Answered::Taken);
+    (4..6).for_each(|sender| deliver(&ledger, "safe", sender));
+    hand_in(&ledger, "twice", PUSH, Answered::Failed);
+    (1..3).for_each(|sender| deliver(&ledger, "twice", sender));
+    hand_in(&ledger, "open", PAY, Answered::Taken);
+    let call = ledger.next_call();
+    let items = vec![Item { id: "open".into(), key: None }];
+    let (endpoint, first) = ("d1-0".into(), ledger.now());
+    ledger.note(Event::Call { call, sender: 5, endpoint, first, fresh: false, batch: false, items });
+    ledger.note(Event::Broke { call, by: By::Sender });
+    let bad = judged(&ledger);
+    assert_eq!(bad.second_owners(), ["twice"]);
+    assert_eq!(bad.double_effects(), ["twice"]);
+    assert_eq!(bad.unended(), ["open"]);
+    assert!(bad.judgement.broken(), "the kit's judge sees the double effect as well");
+    assert_eq!(bad.callers()[&1].len(), 5);
+}
+
+#[test]
+fn the_kits_judge_holds_the_owner_to_what_it_took_on_and_not_the_entry() {
+    let ledger = Ledger::new();
+    ledger.note(Event::Endpoint { endpoint: "d1-0".into(), receiver: 1, zone: "a".into() });
+    hand_in(&ledger, "a", PAY, Answered::Taken);
+    // The entry dies; its owner has still to see the message to its end.
+    ledger.note(Event::Signal { sender: 0, signal: Signal::Kill });
+    deliver(&ledger, "a", 7);
+    let message = judged(&ledger).table.message("a").unwrap().clone();
+    assert_eq!(message.sender, 7);
+    // One that was not promised stays with the sender at which it was handed in.
+    hand_in(&ledger, "b", PAY, Answered::Silence);
+    deliver(&ledger, "b", 7);
+    assert_eq!(judged(&ledger).table.message("b").unwrap().sender, 0);
+}
+
+#[test]
+fn clients_receivers_and_directory_work_with_a_sender_as_it_is() {
+    placement::run(async {
+        let deployment = Deployment { members: 1, destinations: 100, ..Deployment::default() };
+        let stage = Stage::start_without_placement(deployment).await;
+        let load = Load::of(&stage.fleet, 80, Duration::from_secs(2));
+        stage.receivers.conduct(WAITING, placement::receivers::Conduct::WaitOnce(Duration::from_millis(300)));
+        let directory = stage.directory.clone();
+        let drains = async {
+            tokio::time::sleep(Duration::from_millis(500)).await;
+            (1..=5).for_each(|destination| directory.replace(destination));
+        };
+        tokio::join!(stage.clients.play(&load), drains);
+        stage.clients.settle().await;
+        let findings = Findings::of("one sender", &stage.fleet.deployment, &stage.ledger);
+        findings.assert_kept(&[Rule::NoMessageLost, Rule::DrainsKept, Rule::OrderKept, Rule::WaitsHeeded]);
+        // Only a receiver that told its sender to wait is tried so seldom that a message's time may be up before.
+        let mut undelivered = findings.undelivered();
+        undelivered.remove(&WAITING);
+        assert_eq!(undelivered, BTreeMap::new());
+    });
+}
