Stand-ins for placement: owners by the deciding crate, and lists that must be refused

The verdicts have to know who owns a destination, and the agents' lists must be such as the deciding crate reads. The stand-ins' first list and changes are put through it, and each wrong list is seen to be refused.

--- a/crates/sender/tests/common/placement/mod.rs
+++ b/crates/sender/tests/common/placement/mod.rs
@@ -13,9 +13,11 @@
 pub mod fleet;
 pub mod http;
 pub mod ledger;
+pub mod owners;
 pub mod receivers;
 pub mod relay;
 pub mod verdict;
+pub mod wrong_lists;
 
 use std::time::Duration;
 use tokio::task::LocalSet;
--- a/crates/sender/tests/placement_standins.rs
+++ b/crates/sender/tests/placement_standins.rs
@@ -6,6 +6,7 @@
 mod placement;
 
 use common::LIMIT;
+use embershore_placement::{Changes, MemberList};
 use embershore_rehearsal::history::{Answered, By, Ended, Event, Item, Signal};
 use embershore_rehearsal::judge::Rule;
 use placement::clients::Load;
@@ -13,8 +14,10 @@
 use placement::deployment::{Deployment, PAY, PUSH, SYNC, seat};
 use placement::fleet::Stage;
 use placement::ledger::Ledger;
+use placement::owners::Owners;
 use placement::relay::{Mode, Relay};
 use placement::verdict::Findings;
+use placement::wrong_lists::wrong_lists;
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -71,6 +74,31 @@
     });
 }
 
+#[test]
+fn the_deciding_crate_reads_the_agents_lists_and_refuses_the_wrong_ones() {
+    let deployment = Deployment::default();
+    let addresses: Vec<String> = (1..=12).map(|n| format!("127.0.0.1:{n}")).collect();
+    let control = Control::new();
+    control.begin(deployment.first_list(&addresses));
+    let first = MemberList::parse_json(control.list().to_string().as_bytes()).unwrap();
+    let owners = Owners::of(&control.list());
+    for destination in 1..=deployment.destinations {
+        let owned_by = owners.owners(destination);
+        assert!(owned_by.len() == 2 && owned_by[0] % 3 != owned_by[1] % 3, "{destination}: {owned_by:?}");
+    }
+    let changes = vec![json!({"append": seat(12, "127.0.0.1:13")}), json!({"seat": 3, "member": null})];
+    control.change(changes.clone());
+    let told = json!({"epoch": 2, "since": 1, "changes": changes}).to_string();
+    let applied = first.apply(&Changes::parse_json(told.as_bytes()).unwrap()).unwrap();
+    let whole = MemberList::parse_json(control.list().to_string().as_bytes()).unwrap();
+    assert_eq!(applied.digest(), whole.digest(), "whole and by changes it is the same list");
+    for (what, list) in wrong_lists(&control.list()) {
+        let read = MemberList::parse_json(list.to_string().as_bytes());
+        let taken = read.and_then(|next| whole.check_successor(&next));
+        assert!(taken.is_err(), "{what}: {taken:?}");
+    }
+}
+
 /// An owner that answers each request with `+OK`, and what it has read.
 async fn owner() -> (SocketAddr, tokio::sync::mpsc::UnboundedReceiver<Vec<u8>>) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
