Stand-ins for placement: order of a key over the whole fleet

All messages of a key go to one owner at a time, so rule 5 holds over all senders together and not only for each. The kit's judge is asked a second time with all owners taken for one sender.

--- a/crates/sender/tests/common/placement/fleet.rs
+++ b/crates/sender/tests/common/placement/fleet.rs
@@ -19,8 +19,8 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
 
-/// Kept connections from one sender to one owner at most.
-const OWNER_CONNECTIONS: usize = 4;
+/// Kept connections from one sender to all others at most.
+const OWNER_CONNECTIONS: usize = 32;
 /// How often processes that end by themselves are looked for.
 const LOOK_EVERY: Duration = Duration::from_millis(20);
 /// How often the rig looks whether it stands still itself, and how often it says so.
--- a/crates/sender/tests/common/placement/verdict.rs
+++ b/crates/sender/tests/common/placement/verdict.rs
@@ -1,19 +1,22 @@
 //! What a scenario's records say: the kit's judge over the whole fleet, and what only a placed fleet can break.
 //!
 //! Of the six rules the judge is fed all that rules 1 (no message lost), 2 (no effect twice), 3 (drains kept), 5 (order
-//! kept) and 6 (waits heeded) look at. Rule 4 (a returning receiver is not pushed over) is not covered: the stand-in
+//! kept) and 6 (waits heeded) look at. Rule 5 is judged twice: for each owner, and over the whole fleet, since all messages
+//! of a key go to one owner at a time. Rule 4 (a returning receiver is not pushed over) is not covered: the stand-in
 //! receivers have no capacity that could be exceeded.
 
 use super::deployment::Deployment;
 use super::ledger::Ledger;
 use embershore_rehearsal::facts::Effect;
 use embershore_rehearsal::history::{Answered, Event, FORMAT, Record};
-use embershore_rehearsal::judge::{Attempt, Judgement, Message, Rule, Table, Verdict, verdict};
+use embershore_rehearsal::judge::{Attempt, Judgement, Message, Rule, Ruling, Table, Verdict, verdict};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// The records of a scenario that is over, put together.
 pub struct Findings {
     pub judgement: Judgement,
+    /// Rule 5, as if all owners were one sender.
+    pub fleet_order: Ruling,
     pub table: Table,
 }
 
@@ -34,9 +37,10 @@
         let mut records = vec![Record { t: 0, event: Event::Run { format: FORMAT, facts } }];
         records.extend(ledger.records());
         records.push(Record { t: ledger.now(), event: Event::Over });
+        let fleet_order = fleet_order(&records);
         attribute_to_owners(&mut records);
         let table = Table::new(&records).unwrap();
-        Findings { judgement: verdict(&table), table }
+        Findings { judgement: verdict(&table), fleet_order, table }
     }
 
     /// Asserts that no rule is broken and that no message had a second owner where that could do harm.
@@ -45,7 +49,7 @@
     /// Tells the offences.
     pub fn assert_kept(&self, tested: &[Rule]) {
         println!("{:?}; void: {:?}", self.answers(), self.judgement.void);
-        for ruling in &self.judgement.rules {
+        for ruling in self.judgement.rules.iter().chain([&self.fleet_order]) {
             println!("{}: {}, {} tests {:?}", ruling.rule, ruling.verdict, ruling.tested, ruling.margin);
             // Where the rig itself stood still, only what hangs on no time is proven.
             let timed = matches!(ruling.rule, Rule::DrainsKept | Rule::WaitsHeeded | Rule::OrderKept);
@@ -181,6 +185,18 @@
     }
 }
 
+/// Rule 5 over all senders together.
+fn fleet_order(records: &[Record]) -> Ruling {
+    let mut records = records.to_vec();
+    for record in &mut records {
+        if let Event::Offer { sender, .. } = &mut record.event {
+            *sender = 0;
+        }
+    }
+    let judgement = verdict(&Table::new(&records).unwrap());
+    judgement.ruling(Rule::OrderKept).unwrap().clone()
+}
+
 /// The judge holds a sender to what it took on. Here that is the message's owner, as its first call or its notice shows,
 /// and not the sender at which the client handed it in.
 fn attribute_to_owners(records: &mut [Record]) {
--- a/crates/sender/tests/placement_standins.rs
+++ b/crates/sender/tests/placement_standins.rs
@@ -8,10 +8,10 @@
 use common::LIMIT;
 use embershore_placement::{Changes, MemberList};
 use embershore_rehearsal::history::{Answered, By, Ended, Event, Item, Signal};
-use embershore_rehearsal::judge::Rule;
+use embershore_rehearsal::judge::{Rule, Verdict};
 use placement::clients::Load;
 use placement::control::Control;
-use placement::deployment::{Deployment, PAY, PUSH, SYNC, seat};
+use placement::deployment::{Deployment, FLOW, PAY, PUSH, SYNC, seat};
 use placement::fleet::Stage;
 use placement::ledger::Ledger;
 use placement::owners::Owners;
@@ -165,7 +165,7 @@
         tenant: 0,
         receiver: 1,
         key: None,
-        order: None,
+        order: (class == FLOW).then(|| "one key".into()),
         left: 1_000_000,
         due: ledger.now(),
     });
@@ -233,6 +233,24 @@
     assert_eq!(judged(&ledger).table.message("b").unwrap().sender, 0);
 }
 
+#[test]
+fn a_key_that_two_owners_serve_at_once_is_out_of_order() {
+    let ledger = Ledger::new();
+    ledger.note(Event::Endpoint { endpoint: "d1-0".into(), receiver: 1, zone: "a".into() });
+    let hand_in_of_key = |id: &str| {
+        hand_in(&ledger, id, FLOW, Answered::Taken);
+        // The judge goes by times, and two records may have the same.
+        std::thread::sleep(Duration::from_millis(1));
+    };
+    hand_in_of_key("a");
+    hand_in_of_key("b");
+    deliver(&ledger, "b", 2);
+    deliver(&ledger, "a", 1);
+    let findings = judged(&ledger);
+    assert_eq!(findings.judgement.ruling(Rule::OrderKept).unwrap().verdict, Verdict::Untested);
+    assert_eq!(findings.fleet_order.verdict, Verdict::Broken);
+}
+
 #[test]
 fn clients_receivers_and_directory_work_with_a_sender_as_it_is() {
     placement::run(async {
