--- a/crates/sender/tests/common/placement/deployment.rs
+++ b/crates/sender/tests/common/placement/deployment.rs
@@ -1,6 +1,6 @@
 //! The deployment that all scenarios share: classes, settings, and what the judge must know of them.
 
-use embershore_rehearsal::facts::{Class, Effect, Facts, Receiver, Rules, Sender, Tenant};
+use embershore_rehearsal::parameters::{Class, Effect, Parameters, Receiver, Rules, Sender, Tenant};
 use embershore_rehearsal::span::Micros;
 use serde_json::{Value, json};
 use std::time::Duration;
@@ -89,7 +89,7 @@
     }
 
     /// What the judge must know.
-    pub fn facts(&self, scenario: &str) -> Facts {
+    pub fn parameters(&self, scenario: &str) -> Parameters {
         let receiver = |number| Receiver {
             number,
             kind: "one".into(),
@@ -105,7 +105,7 @@
             slots: SLOTS,
             max_open: self.max_open,
         };
-        Facts {
+        Parameters {
             scenario: scenario.into(),
             seed: 0,
             length: 0,
--- a/crates/sender/tests/common/placement/verdict.rs
+++ b/crates/sender/tests/common/placement/verdict.rs
@@ -7,9 +7,9 @@
 
 use super::deployment::Deployment;
 use super::ledger::Ledger;
-use embershore_rehearsal::facts::Effect;
 use embershore_rehearsal::history::{Answered, Event, FORMAT, Record};
 use embershore_rehearsal::judge::{Attempt, Judgement, Message, Rule, Ruling, Table, Verdict, verdict};
+use embershore_rehearsal::parameters::Effect;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// The records of a scenario that is over, put together.
@@ -33,8 +33,8 @@
 impl Findings {
     /// Judges what the ledger holds.
     pub fn of(scenario: &str, deployment: &Deployment, ledger: &Ledger) -> Findings {
-        let facts = Box::new(deployment.facts(scenario));
-        let mut records = vec![Record { t: 0, event: Event::Run { format: FORMAT, facts } }];
+        let parameters = Box::new(deployment.parameters(scenario));
+        let mut records = vec![Record { t: 0, event: Event::Run { format: FORMAT, parameters } }];
         records.extend(ledger.records());
         records.push(Record { t: ledger.now(), event: Event::Over });
         let fleet_order = fleet_order(&records);
