--- a/crates/sender/src/driver.rs
+++ b/crates/sender/src/driver.rs
@@ -1,9 +1,9 @@
 //! The core: feeds the dispatcher with what happens, in rounds, and carries out what it decides. How it starts is in
 //! `start`, how one process replaces another in `replace`.
 
+mod recovered;
 mod replace;
 mod start;
-mod untried;
 
 pub use replace::Handing;
 pub use start::Known;
@@ -26,6 +26,7 @@
     Action, DestId, Dispatcher, Effect, EndpointEntry, EndpointId, Event, KindSettings, Micros, MsgId,
     Outcome, Settings, Status,
 };
+use recovered::RecoveredMessages;
 use replace::{Former, next_of};
 use std::cell::RefCell;
 use std::cmp::Reverse;
@@ -33,7 +34,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
-use untried::Untried;
 
 /// After SIGTERM: the process stays for this long at the least, also with nothing to do, ...
 const STAY_LEAST: Micros = 900_000;
@@ -111,7 +111,7 @@
     events: Vec<Event>,
     newcomers: BTreeMap<MsgId, Newcomer>,
     live: HashMap<MsgId, Live>,
-    untried: Untried,
+    recovered: RecoveredMessages,
     by_request: HashMap<String, MsgId>,
     out: HashMap<u64, Option<oneshot::Sender<()>>>,
     next_call: u64,
@@ -154,7 +154,7 @@
             events: Vec::new(),
             newcomers: BTreeMap::new(),
             live: HashMap::new(),
-            untried: Untried::default(),
+            recovered: RecoveredMessages::default(),
             by_request: HashMap::new(),
             out: HashMap::new(),
             next_call: 0,
@@ -206,8 +206,8 @@
                 self.calls.retire();
             }
             if self.stopped(last) {
-                if self.untried.any() {
-                    eprintln!("{}", self.untried);
+                if self.recovered.any() {
+                    eprintln!("{}", self.recovered);
                 }
                 return;
             }
@@ -379,17 +379,17 @@
         }
         self.tell_called(id);
         // The module ends a message up to two quanta early.
-        if self.untried.over(id, self.clock.now(), 2 * self.quantum) {
-            eprintln!("{}", self.untried);
+        if self.recovered.over(id, self.clock.now(), 2 * self.quantum) {
+            eprintln!("{}", self.recovered);
         }
         live.is_some()
     }
 
-    /// What a restart found untried is tried once a call of it has begun.
+    /// A message that a restart recovered is attempted once a call of it has begun.
     fn tell_called(&mut self, id: MsgId) {
         let begun = self.journal.borrow().get(id.0).map_or(0, |entry| entry.progress.attempts);
-        if self.untried.call(id, begun) {
-            eprintln!("{}", self.untried);
+        if self.recovered.call(id, begun) {
+            eprintln!("{}", self.recovered);
         }
     }
 
--- a/crates/sender/src/driver/untried.rs
+++ b/crates/sender/src/driver/recovered.rs
@@ -1,15 +1,15 @@
-//! What a restart finds taken on and untried (also by attempts that surely never ran), and what becomes of it: each is
-//! still to get a call while its time lasts. Told in the log once the last of them has got one or is over.
+//! Messages that a restart recovers from the journal and that were not attempted yet (or by attempts only that surely
+//! never ran), and what becomes of them: each is still to get a call while its time lasts. The log tells of them once
+//! the last has got one or is over.
 
 use heronroute::{Micros, MsgId};
 use std::collections::BTreeMap;
 use std::fmt;
 
 /// The messages that wait for their first call since the start, with the end of each one's time and the calls that had
-/// begun before; and how many of the
-/// others fared how. Bounded by what the journal held.
+/// begun before; and how many of the others fared how. Bounded by what the journal held.
 #[derive(Debug, Default, PartialEq)]
-pub(super) struct Untried {
+pub(super) struct RecoveredMessages {
     waiting: BTreeMap<MsgId, (Micros, u32)>,
     /// Over before this process began.
     late: usize,
@@ -20,7 +20,7 @@
     given_up: usize,
 }
 
-impl Untried {
+impl RecoveredMessages {
     /// One was found at the start.
     pub(super) fn found(&mut self, id: MsgId, deadline: Micros, begun: u32, now: Micros) {
         if deadline > now {
@@ -53,13 +53,13 @@
 
     /// Whether any was found.
     pub(super) fn any(&self) -> bool {
-        *self != Untried::default()
+        *self != RecoveredMessages::default()
     }
 }
 
-impl fmt::Display for Untried {
+impl fmt::Display for RecoveredMessages {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Untried { waiting, late, called, expired, given_up } = self;
+        let RecoveredMessages { waiting, late, called, expired, given_up } = self;
         let found = waiting.len() + late + called + expired + given_up;
         write!(
             f,
@@ -75,7 +75,7 @@
 
     #[test]
     fn each_one_is_counted_once_and_the_last_is_told() {
-        let mut u = Untried::default();
+        let mut u = RecoveredMessages::default();
         assert!(!u.any());
         for (id, deadline) in [(1, 5), (2, 100), (3, 100), (4, 100)] {
             u.found(MsgId(id), deadline, 2, 10);
--- a/crates/sender/src/driver/start.rs
+++ b/crates/sender/src/driver/start.rs
@@ -141,7 +141,7 @@
                 .map(|(name, at)| (number(name), *at)),
             });
             if progress.unknown().is_none() {
-                self.untried.found(MsgId(id), message.deadline, progress.attempts, now);
+                self.recovered.found(MsgId(id), message.deadline, progress.attempts, now);
             }
             self.by_request.insert(request_id, MsgId(id));
             self.rows.enter(row);
