--- /dev/null
+++ b/crates/placement/examples/bounds.rs
@@ -0,0 +1,85 @@
+//! Times of placement at 15,000 seats against their budgets; exits with 1 if one is broken.
+//!
+//! `cargo run --release -p embershore-placement --example bounds`, on a machine that is otherwise idle.
+
+#[path = "../tests/support/mod.rs"]
+mod support;
+
+use std::hint::black_box;
+use std::process::ExitCode;
+use std::time::{Duration, Instant};
+
+use embershore_placement::{Change, SeatId, Table, shard};
+use support::{FULL_DESTINATIONS, FULL_SEATS, applied, full_size, seat_form, seats_where, vacate};
+
+const ROUNDS: u32 = 5;
+
+/// A figure and the budget that it has to keep; a budget of none is for information.
+struct Figure {
+    name: &'static str,
+    best: Duration,
+    worst: Duration,
+    budget: Option<Duration>,
+}
+
+/// Times `work` over some rounds.
+fn measured(name: &'static str, budget: Option<Duration>, mut work: impl FnMut() -> Duration) -> Figure {
+    let times: Vec<Duration> = (0..ROUNDS).map(|_| work()).collect();
+    let best = times.iter().copied().min().unwrap_or_default();
+    Figure { name, best, worst: times.into_iter().max().unwrap_or_default(), budget }
+}
+
+fn timed<T>(work: impl FnOnce() -> T) -> Duration {
+    let start = Instant::now();
+    black_box(work());
+    start.elapsed()
+}
+
+fn main() -> ExitCode {
+    let list = full_size();
+    let table = Table::build(&list);
+    let change = |entries: &[Change]| {
+        let (next, changes) = applied(&list, entries.to_vec());
+        let mut table = table.clone();
+        let list_time = timed(|| list.apply(&changes));
+        list_time + timed(|| table.apply(&next, &changes))
+    };
+    let milliseconds = |count| Some(Duration::from_millis(count));
+    let lost = vacate(&[SeatId(7_000)]);
+    let added = [Change::Append(seat_form(1, 1, 999, Some(FULL_SEATS)))];
+    let zone =
+        vacate(&seats_where(&list, |seat| list.region_name(seat) == "r0" && list.zone_name(seat) == "z0"));
+    let json = list.to_json();
+    let figures = [
+        measured("whole table", milliseconds(1_000), || timed(|| Table::build(&list))),
+        measured("one member lost, list and table", milliseconds(5), || change(&lost)),
+        measured("one member added, list and table", milliseconds(5), || change(&added)),
+        measured("a zone of 1,364 lost in one change", None, || change(&zone)),
+        measured("lookup of a destination's owners", Some(Duration::from_micros(1)), || lookup(&table)),
+        measured("whole list from JSON", None, || {
+            timed(|| embershore_placement::MemberList::parse_json(&json))
+        }),
+    ];
+    for figure in &figures {
+        let budget = figure.budget.map_or("none".to_owned(), |budget| format!("{budget:?}"));
+        println!(
+            "{}: best {:?}, worst {:?} of {ROUNDS}; budget {budget}",
+            figure.name, figure.best, figure.worst
+        );
+    }
+    println!("table: {} bytes; budget 8000000", table.bytes());
+    let broken = figures.iter().find(|figure| figure.budget.is_some_and(|budget| figure.best > budget));
+    match broken {
+        Some(figure) => {
+            println!("BROKEN: budget of {}", figure.name);
+            ExitCode::FAILURE
+        }
+        None => ExitCode::SUCCESS,
+    }
+}
+
+/// Mean time of one lookup over all destinations.
+fn lookup(table: &Table) -> Duration {
+    let all = timed(|| (0..FULL_DESTINATIONS).map(|dest| table.owners(shard(dest)).len()).sum::<usize>());
+    all / FULL_DESTINATIONS as u32
+}
--- a/crates/placement/src/base.rs
+++ b/crates/placement/src/base.rs
@@ -307,15 +307,35 @@
 
     /// The first position that may be taken, in the rows of one probe.
     fn find(&self, first: u32, donors: Donors, search: &Search) -> Option<Found> {
+        // One loop for each kind of donors: it is run millions of times.
+        match donors {
+            Donors::AboveTarget => {
+                self.find_from(first, false, search, |donor| self.is_above_target(donor, search))
+            }
+            _ => {
+                let worse = matches!(donors, Donors::Overloaded);
+                self.find_from(first, worse, search, |donor| self.gives(donor, donors, search))
+            }
+        }
+    }
+
+    #[inline]
+    fn find_from(
+        &self,
+        first: u32,
+        worse: bool,
+        search: &Search,
+        gives: impl Fn(u16) -> bool,
+    ) -> Option<Found> {
         let range = self.layout.range(search.kind);
         let end = (first + PROBE_ROWS).min(self.rows());
         for (seats, row) in self.rows[first as usize..end as usize].iter().zip(first..) {
             for (&donor, position) in seats[range.clone()].iter().zip(range.start..) {
-                if !self.gives(donor, donors, search) {
+                if !gives(donor) {
                     continue;
                 }
                 let Some(change) = self.cost_change(seats, position, search.seat) else { break };
-                if change <= 0 || matches!(donors, Donors::Overloaded) {
+                if change <= 0 || worse {
                     return Some(Found { row, position, worse: change > 0 });
                 }
             }
@@ -323,6 +343,16 @@
         None
     }
 
+    #[inline]
+    fn is_above_target(&self, donor: u16, search: &Search) -> bool {
+        let load = self.load(donor, search.kind);
+        let weight = Units::from(self.weights[usize::from(donor)]);
+        if weight == search.weight {
+            return load > search.target;
+        }
+        search.shares.exceeds(load, search.positions, weight, 16)
+    }
+
     /// How many domains a seat shares with a row's owners except one, zones before racks.
     pub(crate) fn shared_domains(&self, seat: u16, owners: &[u16], except: u16) -> u32 {
         let others = owners.iter().filter(|&&owner| owner != except);
@@ -333,8 +363,7 @@
         let load = self.load(donor, search.kind);
         let weight = Units::from(self.weights[usize::from(donor)]);
         match donors {
-            Donors::AboveTarget if weight == search.weight => load > search.target,
-            Donors::AboveTarget => search.shares.exceeds(load, search.positions, weight, 16),
+            Donors::AboveTarget => self.is_above_target(donor, search),
             Donors::NearTarget => search.shares.exceeds(load, search.positions, weight, 15),
             Donors::Overloaded => search.shares.exceeds(load, search.positions, weight, 18),
             Donors::MoreLoaded => {
@@ -367,19 +396,18 @@
     }
 
     /// What the row's cost changes by if `seat` takes the position; none if the row has the seat already.
+    #[inline]
     fn cost_change(&self, seats: &[u16; ROW], position: usize, seat: u16) -> Option<i32> {
-        let seats = &seats[..self.layout.positions];
+        if seats.contains(&seat) {
+            return None;
+        }
         let (before, after) = (self.domain(seats[position]), self.domain(seat));
+        let grades = self.layout.grades(position);
         let mut change = 0;
-        for (other, &neighbour) in seats.iter().enumerate() {
-            if neighbour == seat {
-                return None;
-            }
-            // The position itself has grade 0.
-            let grade = self.layout.grade(position, other);
+        for (&neighbour, grade) in seats[..self.layout.positions].iter().zip(grades) {
             let neighbour = self.domain(neighbour);
-            change += pair_cost(after, neighbour, grade) as i32;
-            change -= pair_cost(before, neighbour, grade) as i32;
+            let difference = pair_cost(after, neighbour, 1) as i32 - pair_cost(before, neighbour, 1) as i32;
+            change += difference * *grade as i32;
         }
         Some(change)
     }
--- a/crates/placement/src/conflicts.rs
+++ b/crates/placement/src/conflicts.rs
@@ -77,9 +77,9 @@
         Self { owners, positions: owners + SPARES, grades }
     }
 
-    /// How much it counts that the seats of two positions share a domain; nothing for a position and itself.
-    pub(crate) fn grade(&self, first: usize, second: usize) -> u32 {
-        self.grades[first][second]
+    /// How much it counts that the seats of a position and of each other share a domain; nothing for itself.
+    pub(crate) fn grades(&self, position: usize) -> &[u32; ROW] {
+        &self.grades[position]
     }
 
     /// The cost of a row; see [`pair_cost`].
@@ -87,7 +87,7 @@
         let mut cost = 0;
         for (first, &domain) in domains.iter().enumerate().filter(|&(_, &domain)| domain != Domain::NONE) {
             for (second, &other) in domains.iter().enumerate().skip(first + 1) {
-                cost += pair_cost(domain, other, self.grade(first, second));
+                cost += pair_cost(domain, other, self.grades[first][second]);
             }
         }
         cost
--- a/crates/placement/tests/full_size.rs
+++ b/crates/placement/tests/full_size.rs
@@ -55,10 +55,14 @@
 
     fn assert_owned(&self) {
         let replicas = self.list.replicas();
-        assert!(
-            shards().all(|shard| self.table.owners(shard).len() == replicas),
-            "a shard without its owners"
-        );
+        for shard in shards() {
+            let owners = self.table.owners(shard);
+            assert_eq!(owners.len(), replicas, "{shard:?}");
+            assert!(
+                owners.iter().all(|&owner| self.list.member(owner).is_some()),
+                "{shard:?} has a vacant owner"
+            );
+        }
     }
 }
 
