Placement: the option agent_lag reaches the holds

The daemon read and showed agent_lag, but never told its view of the ownership: holds were as long as with agents that are never behind, and a member that heard late of its removal still delivered after the new owner had begun. The scenario's agents are now late by more than the hold without the option.

Measured: 'epochs told late' with agents late by 5.5 s failed without the change (a call of the removed member after the new owner's first), and passed with it (19.5 s).

--- a/crates/sender/src/placement/mod.rs
+++ b/crates/sender/src/placement/mod.rs
@@ -85,8 +85,9 @@
         let memory = Memory::open(state);
         let longest_deadline = settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
         let delivered_within = longest_deadline + DEADLINE_ROUNDING + settings.order_settle;
-        let ownership =
-            Ownership::new(&*options.name, options.lease, delivered_within).with_memory(memory.get());
+        let ownership = Ownership::new(&*options.name, options.lease, delivered_within)
+            .with_agent_lag(options.agent_lag)
+            .with_memory(memory.get());
         let placement = Placement {
             options,
             ownership: RefCell::new(ownership),
--- a/crates/sender/tests/placement.rs
+++ b/crates/sender/tests/placement.rs
@@ -276,7 +276,7 @@
 #[test]
 fn epochs_that_are_told_late_to_a_third_of_the_members() {
     placement::run(async {
-        let agent_lag = Duration::from_millis(2500);
+        let agent_lag = Duration::from_millis(5500);
         let deployment = Deployment { spares: 1, agent_lag, ..Deployment::default() };
         let stage = Stage::start(deployment).await;
         (0..4).for_each(|agent| stage.control.delay(agent, agent_lag));
