Options of placement: each bound has its own comment again

Need: two constants had come to stand under each other's comments. Measured: no behaviour changed; tests/options.rs of the package passed, format clean.

--- a/crates/placement/src/options.rs
+++ b/crates/placement/src/options.rs
@@ -21,9 +21,9 @@
 /// Questions to the control agent by default in the time of one lease.
 const ASKS_PER_LEASE: u32 = 4;
 /// More frequent questions cost more than all else that a quiet member does.
+const ASK_EVERY_LEAST: Duration = Duration::from_millis(100);
 /// A longer lag of an agent keeps gained shards on hold for longer than an outage of most causes lasts.
 const AGENT_LAG_MOST: Duration = Duration::from_secs(300);
-const ASK_EVERY_LEAST: Duration = Duration::from_millis(100);
 /// Kept connections to other members; they are taken from the descriptors that endpoints' connections may use.
 const OWNER_CONNECTIONS_BOUNDS: RangeInclusive<usize> = 1..=1024;
 const OWNER_CONNECTIONS_DEFAULT: usize = 64;
