What is known of a receiver as a whole outlasts a restart

Callers saw: senders restarted together within six seconds of a receiver's return sent all that they held at once, 43 calls where 15.1 are taken (shut, told no wait), 17 where 16.1 are (silent).

Cause: only endpoints' troubles were kept. A refusal without a wait cuts the receiver's budget and puts no endpoint in trouble; a receiver of which one endpoint of two was seen silent counted as well.

It holds since the next process goes by what the former one did.

--- a/crates/sender/src/crossings.rs
+++ b/crates/sender/src/crossings.rs
@@ -4,7 +4,7 @@
 //! The world knows what no sender can: which calls have run. It carries out what the module decides in the order in which
 //! the driver does, a step at a time, and a kill comes between any two of them.
 
-use crate::journal::{Accepted, Journal};
+use crate::journal::{Accepted, Journal, Receiver};
 use embershore_protocol::notice::End;
 use heronroute::{
     Action, ClassSettings, DestId, Dispatcher, Effect, EndpointEntry, EndpointId, Event, KindSettings,
@@ -357,6 +357,10 @@
         let health = self.process.module.health().map(|(id, h)| (name_of(id.0), h)).collect();
         self.process.step()?;
         self.process.journal.keep_health(&health).unwrap();
+        let receivers = self.process.module.receivers();
+        let receivers = receivers.map(|(dest, _, health)| (Receiver::Destination(dest.0), health)).collect();
+        self.process.step()?;
+        self.process.journal.keep_receivers(&receivers).unwrap();
         Ok(())
     }
 
@@ -588,6 +592,11 @@
             let endpoint = EndpointId(name[2..].parse().unwrap());
             events.push(Event::Recalled { endpoint, health });
         }
+        for (receiver, health) in journal.receivers() {
+            if let Receiver::Destination(dest) = receiver {
+                events.push(Event::RecalledReceiver { dest: DestId(*dest), route: None, health });
+            }
+        }
         let (attempts, out, new) = (BTreeMap::new(), Vec::new(), BTreeMap::new());
         Process { module, journal, attempts, out, events, new, fuel: None }
     }
--- a/crates/sender/src/daemon.rs
+++ b/crates/sender/src/daemon.rs
@@ -239,7 +239,7 @@
 /// How this process comes to its journal and its clients' socket.
 enum Way {
     /// Both are its own from the start.
-    Alone(journal::Journal, TcpListener),
+    Alone(Box<journal::Journal>, TcpListener),
     /// The platform holds the socket; the journal may still be another process's.
     Held(std::net::TcpListener),
 }
@@ -321,7 +321,7 @@
     };
     let way = match inherited {
         None => {
-            let journal = open_journal()?;
+            let journal = Box::new(open_journal()?);
             let listener = TcpListener::bind(config.listen).await;
             Way::Alone(journal, listener.map_err(|e| format!("listen on {}: {e}", config.listen))?)
         }
@@ -417,7 +417,7 @@
         _ = stop.send(Input::Stop).await;
     });
     let (journal, handing, listener) = match way {
-        Way::Alone(journal, listener) => (journal, None, listener),
+        Way::Alone(journal, listener) => (*journal, None, listener),
         Way::Held(socket) => {
             // All that needs no journal comes first: the shorter is the time in which no process serves.
             let begun = tokio::time::Instant::now();
--- a/crates/sender/src/driver.rs
+++ b/crates/sender/src/driver.rs
@@ -14,7 +14,7 @@
 use crate::figures::{Ending, Figures};
 use crate::fleet::{Endpoint, Fleet};
 use crate::input::{Ended, Input, Notice};
-use crate::journal::{Accepted, Journal};
+use crate::journal::{Accepted, Journal, Receiver};
 use crate::placement::Placement;
 use crate::rows::Rows;
 use crate::standing::{Change, Standings};
@@ -650,7 +650,16 @@
             health.insert(endpoint.name.clone(), h);
         }
         self.figures.ejected.set(avoided);
-        if let Err(e) = self.journal.borrow_mut().keep_health(&health) {
+        let receivers = self.dispatcher.receivers().filter_map(|(dest, route, health)| {
+            let receiver = match route {
+                Some(id) => Receiver::Route(dest.0, fleet.get(id)?.name.clone()),
+                None => Receiver::Destination(dest.0),
+            };
+            Some((receiver, health))
+        });
+        let mut journal = self.journal.borrow_mut();
+        let kept = journal.keep_health(&health).and_then(|()| journal.keep_receivers(&receivers.collect()));
+        if let Err(e) = kept {
             eprintln!("journal: {e}");
         }
     }
--- a/crates/sender/src/driver/start.rs
+++ b/crates/sender/src/driver/start.rs
@@ -2,11 +2,13 @@
 
 use super::{AS_OF_THE_ROUND, Driver, Live};
 use crate::figures::Ending;
+use crate::fleet::Fleet;
 use crate::input::{Input, Notice};
+use crate::journal::{Journal, Receiver};
 use crate::standing::Change;
 use embershore_handover::State;
 use embershore_protocol::listing::Listing;
-use heronroute::{DestId, EndpointEntry, EndpointId, Event, MsgId, OutCall};
+use heronroute::{DestId, EndpointEntry, EndpointId, Event, MsgId, OutCall, ReceiverHealth};
 use std::collections::{BTreeSet, HashMap};
 use tokio::sync::mpsc;
 
@@ -105,6 +107,9 @@
                 self.events.push(Event::Recalled { endpoint, health });
             }
         }
+        if self.former.is_none() {
+            self.events.extend(recalled_receivers(&journal, &fleet));
+        }
         for (id, entry) in journal.entries() {
             let (message, progress) = (&entry.accepted, &entry.progress);
             let request_id = message.request_id.clone();
@@ -163,3 +168,21 @@
         }
     }
 }
+
+/// What an earlier run knew of receivers as a whole. A journal of an earlier version does not tell: those to which it
+/// holds messages, or whose endpoints were failing, may be out or just be coming back.
+fn recalled_receivers(journal: &Journal, fleet: &Fleet) -> Vec<Event> {
+    let mut unknown = BTreeSet::new();
+    if !journal.keeps_receivers() {
+        let failing = journal.health().filter_map(|(name, _)| fleet.get(fleet.number(name)?));
+        unknown.extend(failing.map(|endpoint| endpoint.dest));
+        unknown.extend(journal.entries().map(|(_, entry)| DestId(entry.accepted.dest)));
+    }
+    let unknown = unknown.into_iter().map(|dest| (dest, None, ReceiverHealth::UNKNOWN));
+    let known = journal.receivers().filter_map(|(receiver, health)| match receiver {
+        Receiver::Destination(dest) => Some((DestId(*dest), None, health)),
+        Receiver::Route(dest, name) => Some((DestId(*dest), Some(fleet.number(name)?), health)),
+    });
+    let recalled = unknown.chain(known);
+    recalled.map(|(dest, route, health)| Event::RecalledReceiver { dest, route, health }).collect()
+}
--- a/crates/sender/src/journal.rs
+++ b/crates/sender/src/journal.rs
@@ -1,12 +1,12 @@
 //! What outlasts the process: every message taken on and not yet over, what has been tried with it, the
-//! notices still owed, and which endpoints were failing.
+//! notices still owed, and which endpoints and receivers were failing or refusing calls.
 //!
 //! An append-only file of records, each `length (u32 LE), CRC-32 of the payload (u32 LE), payload`, the
 //! payload a [`Record`] in postcard's form. The same records rebuild the same [`Journal`] at the next start.
 
 use bytes::Bytes;
 use embershore_protocol::notice::End;
-use heronroute::{ClassSettings, Effect, Group, Health, Micros};
+use heronroute::{ClassSettings, Effect, Group, Health, Micros, ReceiverHealth};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use std::fs::{self, File, OpenOptions};
@@ -118,6 +118,38 @@
     warm_since: Option<Micros>,
 }
 
+/// A receiver as a whole: a destination by its number, or an endpoint by its name where routes are apart.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Receiver {
+    Destination(i64),
+    Route(i64, String),
+}
+
+/// [`ReceiverHealth`] in a form that does not change with the module's types.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct Condition {
+    bad_since: Option<Micros>,
+    down: bool,
+    warm_since: Option<Micros>,
+    wait_until: Option<Micros>,
+    budget: Option<u32>,
+    share: Option<u32>,
+}
+
+impl From<ReceiverHealth> for Condition {
+    fn from(health: ReceiverHealth) -> Self {
+        let ReceiverHealth { bad_since, down, warm_since, wait_until, budget, share } = health;
+        Condition { bad_since, down, warm_since, wait_until, budget, share }
+    }
+}
+
+impl From<Condition> for ReceiverHealth {
+    fn from(condition: Condition) -> Self {
+        let Condition { bad_since, down, warm_since, wait_until, budget, share } = condition;
+        ReceiverHealth { bad_since, down, warm_since, wait_until, budget, share }
+    }
+}
+
 #[derive(Debug, Serialize, Deserialize)]
 enum Record {
     Message(u64, Accepted, Progress),
@@ -131,6 +163,9 @@
     Rules(u32, Rules),
     /// As `Message`, under the rules of that number.
     Held(u32, u64, Accepted, Progress),
+    Receiver(Receiver, Option<Condition>),
+    /// From here on receivers are kept: one that has no record was well.
+    ReceiversKept,
 }
 
 #[derive(Debug)]
@@ -151,6 +186,9 @@
     limit: u64,
     entries: BTreeMap<u64, Entry>,
     health: BTreeMap<String, Ailment>,
+    receivers: BTreeMap<Receiver, Condition>,
+    /// A receiver without a record was well; a journal of an earlier version does not tell.
+    receivers_kept: bool,
     /// Endpoints told to be draining or gone, with the version of the list that told it.
     barred: BTreeMap<String, u64>,
     /// Rules by number. Those without messages go when the journal is compacted.
@@ -192,11 +230,22 @@
         let mut file = OpenOptions::new().read(true).append(true).create(true).open(&path)?;
         let mut bytes = Vec::new();
         file.read_to_end(&mut bytes)?;
-        let (entries, health, barred) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
-        let rules = BTreeMap::new();
         let (len, live, next, closed) = (0, 0, 1, false);
-        let mut journal =
-            Journal { path, file, len, limit, entries, health, barred, rules, live, next, closed };
+        let mut journal = Journal {
+            path,
+            file,
+            len,
+            limit,
+            entries: BTreeMap::new(),
+            health: BTreeMap::new(),
+            receivers: BTreeMap::new(),
+            receivers_kept: false,
+            barred: BTreeMap::new(),
+            rules: BTreeMap::new(),
+            live,
+            next,
+            closed,
+        };
         let mut at = 0;
         while let Some((record, size)) = decode(&bytes[at..]) {
             at += size;
@@ -242,6 +291,9 @@
             Record::Noticed(ids) => ids.into_iter().for_each(|id| self.drop_entry(id)),
             Record::Health(name, Some(a)) => _ = self.health.insert(name, a),
             Record::Health(name, None) => _ = self.health.remove(&name),
+            Record::Receiver(receiver, Some(c)) => _ = self.receivers.insert(receiver, c),
+            Record::Receiver(receiver, None) => _ = self.receivers.remove(&receiver),
+            Record::ReceiversKept => self.receivers_kept = true,
             Record::Listed(name, Some(index)) => _ = self.barred.insert(name, index),
             Record::Listed(name, None) => _ = self.barred.remove(&name),
         }
@@ -262,7 +314,7 @@
 
     /// What a compacted journal would take: tries and ailments are small, so a flat allowance will do.
     fn compacted(&self) -> u64 {
-        let names = self.health.len() + self.barred.len();
+        let names = self.health.len() + self.barred.len() + self.receivers.len() + 1;
         self.live + 160 * self.entries.len() as u64 + 96 * (names + self.rules.len()) as u64
     }
 
@@ -322,6 +374,12 @@
         for (name, ailment) in &self.health {
             bytes.extend_from_slice(&encode(&Record::Health(name.clone(), Some(*ailment)))?);
         }
+        for (receiver, condition) in &self.receivers {
+            bytes.extend_from_slice(&encode(&Record::Receiver(receiver.clone(), Some(*condition)))?);
+        }
+        if self.receivers_kept {
+            bytes.extend_from_slice(&encode(&Record::ReceiversKept)?);
+        }
         for (name, index) in &self.barred {
             bytes.extend_from_slice(&encode(&Record::Listed(name.clone(), Some(*index)))?);
         }
@@ -418,6 +476,21 @@
         Ok(())
     }
 
+    /// Keeps what has changed in the health of receivers. From then on one without a record is known to be well.
+    pub fn keep_receivers(&mut self, now: &BTreeMap<Receiver, ReceiverHealth>) -> io::Result<()> {
+        let well = self.receivers.keys().filter(|r| !now.contains_key(*r)).map(|r| (r.clone(), None));
+        let ailing = now.iter().map(|(receiver, health)| (receiver.clone(), Some(Condition::from(*health))));
+        let changed = ailing.filter(|(receiver, c)| self.receivers.get(receiver) != c.as_ref());
+        let news: Vec<_> = well.chain(changed).collect();
+        for (receiver, condition) in news {
+            self.append(Record::Receiver(receiver, condition), 0)?;
+        }
+        if !self.receivers_kept && !self.closed {
+            self.append(Record::ReceiversKept, 0)?;
+        }
+        Ok(())
+    }
+
     /// Keeps which endpoints are told to be draining or gone. A restarted sender is given a list that may be
     /// older, and must not send to them although discovery says nothing.
     pub fn keep_listed(&mut self, index: u64, lines: &[(String, bool)]) -> io::Result<()> {
@@ -452,6 +525,16 @@
         })
     }
 
+    /// What is known of receivers as a whole.
+    pub fn receivers(&self) -> impl Iterator<Item = (&Receiver, ReceiverHealth)> {
+        self.receivers.iter().map(|(receiver, condition)| (receiver, ReceiverHealth::from(*condition)))
+    }
+
+    /// Whether a receiver without a record was well. A journal of an earlier version does not tell.
+    pub fn keeps_receivers(&self) -> bool {
+        self.receivers_kept
+    }
+
     pub fn get(&self, id: u64) -> Option<&Entry> {
         self.entries.get(&id)
     }
@@ -460,3 +543,62 @@
         self.entries.iter().map(|(id, e)| (*id, e))
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const LIMIT: u64 = 1_000_000;
+
+    fn accepted(dest: i64) -> Accepted {
+        Accepted {
+            request_id: "a".into(),
+            class: "c".into(),
+            order_key: String::new(),
+            idempotency_key: None,
+            dest,
+            deadline: 1_000_000,
+            body: Bytes::from_static(b"body"),
+        }
+    }
+
+    fn reopen(folder: &Path) -> Journal {
+        Journal::open(folder, LIMIT).unwrap()
+    }
+
+    #[test]
+    fn what_is_known_of_receivers_outlasts_the_process_and_a_compaction() {
+        let folder = tempfile::tempdir().unwrap();
+        let refused = ReceiverHealth { budget: Some(96), wait_until: Some(7), ..ReceiverHealth::default() };
+        let down = ReceiverHealth { bad_since: Some(3), down: true, ..ReceiverHealth::default() };
+        let route = Receiver::Route(2, "r2-1".into());
+        let ailing = BTreeMap::from([(Receiver::Destination(1), refused), (route.clone(), down)]);
+        let mut journal = reopen(folder.path());
+        journal.keep_receivers(&ailing).unwrap();
+        let kept =
+            |journal: &Journal| journal.receivers().map(|(r, h)| (r.clone(), h)).collect::<BTreeMap<_, _>>();
+        assert_eq!(kept(&reopen(folder.path())), ailing);
+        journal.compact().unwrap();
+        let mut journal = reopen(folder.path());
+        assert_eq!(kept(&journal), ailing);
+        assert!(journal.keeps_receivers());
+        let length = journal.len;
+        journal.keep_receivers(&ailing).unwrap();
+        assert_eq!(journal.len, length, "nothing changed, so nothing is written");
+        journal.keep_receivers(&BTreeMap::from([(route.clone(), down)])).unwrap();
+        assert_eq!(kept(&reopen(folder.path())), BTreeMap::from([(route, down)]));
+    }
+
+    #[test]
+    fn a_journal_of_an_earlier_version_does_not_tell_how_receivers_were() {
+        let folder = tempfile::tempdir().unwrap();
+        let mut journal = reopen(folder.path());
+        journal.accept(1, accepted(5), &ClassSettings::default()).unwrap();
+        drop(journal);
+        let mut journal = reopen(folder.path());
+        assert!(!journal.keeps_receivers() && journal.entries().count() == 1);
+        journal.keep_receivers(&BTreeMap::new()).unwrap();
+        let journal = reopen(folder.path());
+        assert!(journal.keeps_receivers() && journal.entries().count() == 1);
+    }
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -399,6 +399,36 @@
     pub warm_since: Option<Micros>,
 }
 
+/// What a dispatcher remembers of a receiver as a whole, a destination or a route of it where routes are apart, for a
+/// sender that keeps it over a restart.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ReceiverHealth {
+    /// Since when it has answered nothing well, if its last answers were bad.
+    pub bad_since: Option<Micros>,
+    /// It is taken to be out as a whole.
+    pub down: bool,
+    /// When it came back from an outage, if it is still being loaded bit by bit.
+    pub warm_since: Option<Micros>,
+    /// Until when it told its callers to wait.
+    pub wait_until: Option<Micros>,
+    /// What this sender holds itself to after refusals, in thousandths of a call a second.
+    pub budget: Option<u32>,
+    /// This sender's own traffic for it, in thousandths of a message a second.
+    pub share: Option<u32>,
+}
+
+impl ReceiverHealth {
+    /// What is assumed of a receiver of which an earlier run has kept nothing, not even that it was well.
+    pub const UNKNOWN: ReceiverHealth = ReceiverHealth {
+        bad_since: None,
+        down: true,
+        warm_since: None,
+        wait_until: None,
+        budget: None,
+        share: None,
+    };
+}
+
 /// What a sender tells its dispatcher. Events that name something unknown are ignored.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
@@ -452,6 +482,15 @@
         /// As [`Dispatcher::health`](crate::Dispatcher::health) told it.
         health: Health,
     },
+    /// What an earlier run of this sender knew of a receiver as a whole, after all that it knew of its endpoints.
+    RecalledReceiver {
+        /// The destination.
+        dest: DestId,
+        /// The endpoint, where it is a route of its own.
+        route: Option<EndpointId>,
+        /// As [`Dispatcher::receivers`](crate::Dispatcher::receivers) told it.
+        health: ReceiverHealth,
+    },
     /// What another process's dispatcher knew that this one goes on for, once its endpoints have been listed.
     Learnt(Box<Learnt>),
     /// The calls which that process still has out, once its messages have been restored. Their outcomes come like any
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -45,6 +45,7 @@
 mod batching;
 mod handed;
 mod interface;
+mod kept;
 mod logic;
 mod measure;
 mod rotation;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -74,7 +74,7 @@
 const CROWD: f64 = 1.5; // load on endpoints of one zone, over that on all, for which messages stay in it
 const BEGUN: Micros = 2_000_000; // a destination known for less has no newcomers among its endpoints
 const KEPT: f64 = 2.0; // calls within the time that connections are kept that are worth a further one
-const ALERT: Micros = 20_000_000; // a refusal is a sign that a limit is short for so long
+pub(crate) const ALERT: Micros = 20_000_000; // a refusal is a sign that a limit is short for so long
 const YIELD: f64 = 1.5e6; // once messages are late, rank goes by the worth lost within this wait ...
 const WORTH_NOW: f64 = 0.4; // ... plus this share of the worth at hand, lost for good if the backlog stays
 const ROOM: f64 = 0.06; // part of `max_open` kept free, so that nothing is turned away unseen
@@ -89,7 +89,7 @@
 /// Decides for one sender. Feed it rounds of events; it answers with actions.
 #[derive(Default)]
 pub struct Dispatcher {
-    now: Micros,
+    pub(crate) now: Micros,
     random: u64,
     /// From 0 to 1, by its own seed: how readily this sender leaves its zone.
     homely: f64,
@@ -173,6 +173,9 @@
             Event::Out(calls) => self.adopt(calls),
             Event::Classes(classes) => self.set.classes = classes.clone(),
             Event::Recalled { endpoint, health } => self.recall(*endpoint, *health),
+            Event::RecalledReceiver { dest, route, health } => {
+                self.lanes_of(*dest, *route).into_iter().for_each(|key| self.recall_receiver(key, *health));
+            }
             Event::Stopping { at } => self.stop_at = Some(*at),
             Event::Outcome { id, attempt, outcome, last, elapsed, wait, report, .. } => {
                 let wait = (*wait).clamp(0, MAX_SPAN);
@@ -227,7 +230,7 @@
     fn restore(&mut self, id: MsgId, msg: Msg, time_left: Micros, out: &mut Vec<Action>) {
         // One is demand too: without any, one refusal would leave its destination with no budget. All of
         // them in one instant would be taken for a hundred times the traffic, and for as large a part.
-        let first = self.dests.get(&msg.dest).is_none_or(|d| d.share.value == 0.0);
+        let first = self.dests.get(&msg.dest).is_none_or(|d| d.rate.value == 0.0);
         self.admit(id, msg, time_left, first);
         let Some(msg) = self.msgs.get(&id) else { return };
         let guarded = self.set.classes.get(msg.class).filter(|c| c.effect == Effect::Guarded);
@@ -249,29 +252,32 @@
         let Some(e) = self.endpoints.get_mut(&id) else { return };
         e.first_bad = health.bad_since.map(|t| t.min(now));
         e.trouble = health.trouble.then(|| Trouble::new(now, false, gap));
-        let since = health.warm_since.map(|t| t.min(now));
-        e.warm = since.map(|since| Warm::new(since, now));
-        // What ails all endpoints of a lane ailed the lane.
-        let (lane, dest, bad) = (e.lane, e.dest, e.first_bad.unwrap_or(now));
-        let Some(d) = self.dests.get(&dest) else { return };
-        let all = || d.endpoints.iter().filter_map(|id| self.endpoints.get(id));
-        let mine = || all().filter(|e| e.lane == lane && e.listed);
-        let down = health.trouble && mine().all(|e| e.trouble.is_some());
-        let since = mine().filter_map(|e| e.warm.as_ref().map(|w| w.since)).max();
-        let back = since.filter(|_| mine().all(|e| e.trouble.is_some() || e.warm.is_some()));
-        let Some(l) = self.lanes.get_mut(&lane) else { return };
-        (l.down, l.bad) = (down, if down { Some(l.bad.unwrap_or(bad).min(bad)) } else { None });
-        l.back = back.map(|since| Warm::new(since, now));
+        e.warm = health.warm_since.map(|since| Warm::new(since.min(now), now));
     }
 
-    /// What is to be kept of endpoints that have failed, or come back, for [`Event::Recalled`].
-    pub fn health(&self) -> impl Iterator<Item = (EndpointId, Health)> {
-        self.endpoints.iter().filter_map(|(id, e)| {
-            let lane = self.lanes.get(&e.lane).and_then(|l| l.back.as_ref());
-            let warm_since = e.warm.iter().chain(lane).map(|w| w.since).max();
-            let health = Health { bad_since: e.first_bad, trouble: e.trouble.is_some(), warm_since };
-            (health.bad_since.is_some() || health.trouble || warm_since.is_some()).then_some((*id, health))
-        })
+    /// Guards against a herd of restarted senders: what each knew of a receiver as a whole holds on. Found where
+    /// senders that had been refused, or had seen one endpoint of two fail, sent at once all that they held.
+    fn recall_receiver(&mut self, key: LaneKey, health: ReceiverHealth) {
+        let (now, tokens) = (self.now, self.chance());
+        let Some(l) = self.lanes.get_mut(&key) else { return };
+        if let (Some(share), Some(d)) = (health.share, self.dests.get_mut(&l.dest)) {
+            d.share = Rate::known(now, SHARE_MEMORY, f64::from(share) / 1e3);
+        }
+        l.wait_until = l.wait_until.max(health.wait_until.unwrap_or(0));
+        l.bad = health.bad_since.map(|t| t.min(now));
+        l.back = health.warm_since.map(|since| Warm { tokens, ..Warm::new(since.min(now), now) });
+        if let Some(budget) = health.budget {
+            // All restarted senders would save up their first call for the same moment.
+            (l.budget, l.tokens, l.cut) = (f64::from(budget) / 1e3, tokens, now);
+        }
+        let bad = l.bad;
+        let listed: Vec<_> = self.endpoints.iter().filter(|(_, e)| e.lane == key && e.listed).collect();
+        let all_bad = || listed.iter().all(|(_, e)| e.first_bad.is_some());
+        let out = health.down || bad.is_some_and(|t| now - t >= COLD_AFTER || all_bad());
+        if let Some(id) = listed.first().map(|(id, _)| **id).filter(|_| out) {
+            self.suspect(id, false);
+            self.spread(id);
+        }
     }
 
     fn dest(&mut self, id: DestId) -> &mut Dest {
@@ -303,9 +309,9 @@
             let slack = if self.set.weights == Weights::Rough { ROUGH } else { 1.0 };
             let weight = entry.weight.filter(|w| w.is_finite() && *w > 0.0).map(|w| w * slack);
             let limit = weight.filter(|_| self.set.weights != Weights::Silent);
-            let (dest, budget, tokens, accepted) =
-                (entry.dest, f64::INFINITY, UNPACED, Rate::new(now, RATE_MEMORY));
-            let fresh = || Lane { dest, permits, tokens, filled: now, budget, accepted, ..Lane::default() };
+            let dest = entry.dest;
+            let accepted = Rate::new(now, RATE_MEMORY);
+            let fresh = || Lane { permits, tokens: UNPACED, accepted, ..Lane::unhindered(dest, now) };
             let l = self.lanes.entry(lane).or_insert_with(fresh);
             l.limit = limit.or(l.limit);
             let (kind, zone) = (entry.kind, entry.zone);
@@ -968,18 +974,17 @@
             }
             let more = |on: bool, price: f64| if on { 1.0 + price } else { 1.0 };
             let fee = self.set.zone_fees.get(e.zone).copied().unwrap_or(0.0);
+            let trial = match (&e.trouble, careful) {
+                (None, _) => 1.0,
+                (_, true) => 10.0,
+                _ => TRIAL_COST,
+            };
             let cost = lane.latency.mean()
                 * (1.0 + e.out as f64)
                 * more(apart(e), 30.0 * self.set.cross_zone_price)
                 * more(!spread && !open(e) && !e.turn.is_due(now), 10.0 * self.set.handshake_price)
                 * more(matches!(e.lane, LaneKey::Route(_)), 100.0 * fee)
-                * if e.trouble.is_none() {
-                    1.0
-                } else if careful {
-                    10.0
-                } else {
-                    TRIAL_COST
-                }
+                * trial
                 * more(e.turn.is_new(now), 1.0);
             let turn = e.turn.waited(now);
             let burns = e.burns_until();
@@ -1226,12 +1231,6 @@
     }
 }
 
-impl Warm {
-    fn new(since: Micros, now: Micros) -> Self {
-        Warm { since, tokens: 0.0, pace: 0.0, filled: now }
-    }
-}
-
 impl Trouble {
     fn new(now: Micros, harmless: bool, gap: f64) -> Self {
         let mut t = Trouble { backoff: TRIAL_FIRST / 2, harmless, ..Trouble::default() };
--- a/src/measure.rs
+++ b/src/measure.rs
@@ -23,6 +23,10 @@
     pub(crate) fn new(now: Micros, memory: f64) -> Self {
         Rate { born: now, at: now, value: 0.0, memory }
     }
+    /// As if so many a second had been seen for the span of its memory.
+    pub(crate) fn known(now: Micros, memory: f64, rate: f64) -> Self {
+        Rate { born: now - memory as Micros, at: now, value: rate * (1.0 - (-1.0_f64).exp()), memory }
+    }
     pub(crate) fn add(&mut self, now: Micros) {
         self.value = self.value * (-((now - self.at) as f64) / self.memory).exp() + 1e6 / self.memory;
         self.at = now;
--- a/src/state.rs
+++ b/src/state.rs
@@ -62,6 +62,13 @@
     pub(crate) back: Option<Warm>,
 }
 
+impl Lane {
+    /// One that no refusal has taught anything.
+    pub(crate) fn unhindered(dest: DestId, now: Micros) -> Self {
+        Lane { dest, filled: now, budget: f64::INFINITY, ..Lane::default() }
+    }
+}
+
 /// A destination's demand and its hold, oldest first.
 #[derive(Default)]
 pub(crate) struct Dest {
@@ -99,6 +106,12 @@
     pub(crate) filled: Micros,
 }
 
+impl Warm {
+    pub(crate) fn new(since: Micros, now: Micros) -> Self {
+        Warm { since, tokens: 0.0, pace: 0.0, filled: now }
+    }
+}
+
 /// An endpoint's use and health.
 #[derive(Clone, Debug, Default, PartialEq)]
 #[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
--- a/tests/herd.rs
+++ b/tests/herd.rs
@@ -134,12 +134,21 @@
     }
 }
 
-/// Ways in which thirty processes that are restarted 1 s after the return push over a receiver of ten calls a second.
+/// Thirty processes that are restarted 1 s after the return pushed over a receiver of ten calls a second: 43 calls came
+/// at once where 15.1 are taken. A refusal that tells no wait cuts a sender's budget for the receiver, and nothing else
+/// until a second one: no endpoint is in trouble. Only endpoints' troubles were kept, so that a restarted sender had no
+/// budget to heed and sent all that it held. Seen in the trace of a play (seed 101): 43 calls in the round of the start, by
+/// 16 senders that had been given no health at all and eight that knew of trouble at one endpoint of two. The budget is
+/// kept since, and goes on from a random part of a call, or all would make their next one in the same moment.
 #[test]
 fn restarted_after_a_shut_that_told_no_wait() {
     stays_up("a restart", &Return { restart: Some(19 * S), ..small(30, 10.0, Out::ShutUntold) }, 8);
 }
 
+/// The same where the receiver had been silent: 17 calls where 16.1 are taken, within 0.1 s of the start. In the trace of
+/// a play (seed 103) the seven calls in the round of the start came from senders that had seen one endpoint of two
+/// fall silent: what was known of the receiver was put together from its endpoints' troubles, and one that no call had
+/// reached counted as well. That a receiver's last answers were bad, and since when, is kept by itself since.
 #[test]
 fn restarted_after_a_silent_outage() {
     stays_up("a restart", &Return { restart: Some(19 * S), ..small(30, 10.0, Out::Silent) }, 8);
