--- a/crates/rehearsal/src/shipped.rs
+++ b/crates/rehearsal/src/shipped.rs
@@ -31,6 +31,7 @@
     "return-wide",
     "return-many",
     "deploy-all",
+    "return-restart",
     "wide-load",
     "operators-day",
     "replacements",
--- /dev/null
+++ b/tests/kept.rs
@@ -0,0 +1,116 @@
+//! What a sender is told of receivers at its start, and what it makes of it.
+
+mod common;
+
+use common::*;
+use heronroute::*;
+
+const SENT_AT: Micros = 100 * MS;
+const WAIT: Micros = 1500 * MS;
+
+fn listed() -> Event {
+    Event::Members { whole: true, entries: vec![entry(1, 1, 0), entry(2, 1, 0)] }
+}
+
+fn message(id: u64) -> Event {
+    let (id, class, tenant, key, dest) = (MsgId(id), 0, 0, None, DestId(1));
+    Event::Message { id, class, tenant, key, dest, time_left: 10 * S, again: false }
+}
+
+fn sends(actions: &[Action]) -> usize {
+    actions.iter().filter(|action| matches!(action, Action::Send { .. })).count()
+}
+
+/// A sender whose only call was refused with this wait, as it is at `SENT_AT`.
+fn refused(wait: Micros) -> Dispatcher {
+    let mut sender = Dispatcher::new(0, 1, settings()).unwrap();
+    let mut actions = Vec::new();
+    sender.round(0, &[listed(), message(1)], &mut actions);
+    let Some(Action::Send { id, endpoint, .. }) =
+        actions.iter().find(|action| matches!(action, Action::Send { .. }))
+    else {
+        panic!("no call: {actions:?}");
+    };
+    let answer = Event::Outcome {
+        id: *id,
+        attempt: 0,
+        endpoint: *endpoint,
+        outcome: Outcome::Busy,
+        last: false,
+        elapsed: 10 * MS,
+        wait,
+        report: None,
+    };
+    sender.round(SENT_AT, &[answer], &mut Vec::new());
+    sender
+}
+
+/// The next process of a sender, at `SENT_AT`, with what the former one knew and new messages to send.
+fn next_process(former: &Dispatcher, messages: u64) -> Dispatcher {
+    let mut sender = Dispatcher::new(SENT_AT, 2, settings()).unwrap();
+    let mut events = vec![listed()];
+    events.extend(former.health().map(|(endpoint, health)| Event::Recalled { endpoint, health }));
+    let receivers = former.receivers();
+    events.extend(receivers.map(|(dest, route, health)| Event::RecalledReceiver { dest, route, health }));
+    events.extend((2..2 + messages).map(message));
+    let mut actions = Vec::new();
+    sender.round(SENT_AT, &events, &mut actions);
+    assert_eq!(sends(&actions), 0, "{actions:?}");
+    sender
+}
+
+/// When the sender first calls after `SENT_AT`.
+fn first_call(sender: &mut Dispatcher) -> Option<Micros> {
+    (SENT_AT / MS..10_000).map(|at| at * MS).find(|at| {
+        let mut actions = Vec::new();
+        sender.round(*at, &[], &mut actions);
+        sends(&actions) > 0
+    })
+}
+
+#[test]
+fn a_wait_holds_over_a_restart() {
+    let former = refused(WAIT);
+    let called = first_call(&mut next_process(&former, 1));
+    assert!(called.is_none_or(|at| at >= SENT_AT + WAIT), "{called:?}");
+}
+
+#[test]
+fn a_budget_after_a_refusal_holds_over_a_restart() {
+    let former = refused(0);
+    let (_, _, health) = former.receivers().next().unwrap();
+    assert!(health.budget.is_some() && !health.down && health.bad_since.is_none(), "{health:?}");
+    // Twenty messages do not go at once; the first goes as the budget allows.
+    next_process(&former, 20);
+}
+
+#[test]
+fn a_receiver_that_is_well_leaves_nothing_to_keep() {
+    let mut sender = Dispatcher::new(0, 1, settings()).unwrap();
+    let mut actions = Vec::new();
+    sender.round(0, &[listed(), message(1)], &mut actions);
+    assert_eq!((sender.health().count(), sender.receivers().count()), (0, 0));
+}
+
+#[test]
+fn a_receiver_of_which_nothing_is_known_is_asked_by_single_calls() {
+    let mut sender = Dispatcher::new(0, 3, settings()).unwrap();
+    let unknown = Event::RecalledReceiver { dest: DestId(1), route: None, health: ReceiverHealth::UNKNOWN };
+    let events: Vec<Event> = [listed(), unknown].into_iter().chain((1..=20).map(message)).collect();
+    let mut called = 0;
+    for at in 0..3_000 {
+        let mut actions = Vec::new();
+        sender.round(at * MS, if at == 0 { &events } else { &[] }, &mut actions);
+        let probes = actions.iter().filter_map(|action| match action {
+            Action::Probe { endpoint } => Some(*endpoint),
+            _ => None,
+        });
+        let well = |endpoint| Event::Probed { endpoint, outcome: Outcome::Done, report: None };
+        called += sends(&actions);
+        let answers: Vec<Event> = probes.map(well).collect();
+        actions.clear();
+        sender.round(at * MS, &answers, &mut actions);
+        called += sends(&actions);
+    }
+    assert!((1..=2).contains(&called), "{called} calls before any answer, of two endpoints");
+}
