--- a/src/logic.rs
+++ b/src/logic.rs
@@ -253,8 +253,8 @@
         e.warm = health.warm_since.map(|since| Warm::new(since.min(now), now));
     }
 
-    /// Guards against a herd of restarted senders: what each knew of a receiver as a whole holds on. Found where
-    /// senders that had been refused, or had seen one endpoint of two fail, sent at once all that they held.
+    /// Guards against a herd of restarted senders: what each knew of a receiver as a whole holds on. Found
+    /// where senders that had been refused, or had seen one endpoint of two fail, sent all that they held.
     fn recall_receiver(&mut self, key: LaneKey, health: ReceiverHealth) {
         let (now, tokens) = (self.now, self.random.chance());
         let Some(l) = self.lanes.get_mut(&key) else { return };
