Tests that miss the rule for bad answers over a restart, and the probe beside a call

Need: the grid's part and herd.rs did not miss the probe's wait, and a weaker form of the rule for bad answers over a restart only where nothing is known; the whole grid alone tells them.

Change: tests/kept.rs has one for each; the test of a wait over a restart asks for a call to come, or it would hold for a sender that never calls; none_falls of the grid looks at the wide bound too, as its comment says. No code of the module changed.

--- a/tests/kept.rs
+++ b/tests/kept.rs
@@ -72,7 +72,7 @@
 fn a_wait_holds_over_a_restart() {
     let former = refused(WAIT);
     let called = first_call(&mut next_process(&former, 1));
-    assert!(called.is_none_or(|at| at >= SENT_AT + WAIT), "{called:?}");
+    assert!(called.is_some_and(|at| at >= SENT_AT + WAIT), "{called:?}");
 }
 
 #[test]
@@ -92,25 +92,63 @@
     assert_eq!((sender.health().count(), sender.receivers().count()), (0, 0));
 }
 
-#[test]
-fn a_receiver_of_which_nothing_is_known_is_asked_by_single_calls() {
-    let mut sender = Dispatcher::new(0, 3, settings()).unwrap();
-    let unknown = Event::RecalledReceiver { dest: DestId(1), route: None, health: ReceiverHealth::UNKNOWN };
-    let events: Vec<Event> = [listed(), unknown].into_iter().chain((1..=20).map(message)).collect();
-    let mut called = 0;
-    for at in 0..3_000 {
+/// Calls that a sender begins within 3 s of its start, at `SENT_AT`, with twenty messages to send, if each probe is
+/// answered well and no call is answered.
+fn calls_before_an_answer(health: ReceiverHealth) -> usize {
+    let mut sender = Dispatcher::new(SENT_AT, 3, settings()).unwrap();
+    let recalled = Event::RecalledReceiver { dest: DestId(1), route: None, health };
+    let events: Vec<Event> = [listed(), recalled].into_iter().chain((1..=20).map(message)).collect();
+    let mut calls = 0;
+    for at in (0..3_000).map(|after| SENT_AT + after * MS) {
         let mut actions = Vec::new();
-        sender.round(at * MS, if at == 0 { &events } else { &[] }, &mut actions);
+        sender.round(at, if at == SENT_AT { &events } else { &[] }, &mut actions);
         let probes = actions.iter().filter_map(|action| match action {
             Action::Probe { endpoint } => Some(*endpoint),
             _ => None,
         });
         let well = |endpoint| Event::Probed { endpoint, outcome: Outcome::Done, report: None };
-        called += sends(&actions);
+        calls += sends(&actions);
         let answers: Vec<Event> = probes.map(well).collect();
         actions.clear();
-        sender.round(at * MS, &answers, &mut actions);
-        called += sends(&actions);
+        sender.round(at, &answers, &mut actions);
+        calls += sends(&actions);
     }
-    assert!((1..=2).contains(&called), "{called} calls before any answer, of two endpoints");
+    calls
+}
+
+#[test]
+fn a_receiver_of_which_nothing_is_known_is_asked_by_single_calls() {
+    let calls = calls_before_an_answer(ReceiverHealth::UNKNOWN);
+    assert!((1..=2).contains(&calls), "{calls} calls before any answer, of two endpoints");
+}
+
+#[test]
+fn a_receiver_whose_last_answers_were_bad_is_asked_by_single_calls() {
+    let bad_since = Some(SENT_AT - 2 * S);
+    let calls = calls_before_an_answer(ReceiverHealth { bad_since, ..ReceiverHealth::default() });
+    assert!((1..=2).contains(&calls), "{calls} calls before any answer, of two endpoints");
+}
+
+/// One endpoint of two is in trouble, and its trial is long due when a message comes for which the other one is free.
+#[test]
+fn a_call_to_a_receiver_that_answers_nothing_well_has_no_probe_beside_it() {
+    let mut sender = Dispatcher::new(SENT_AT, 4, settings()).unwrap();
+    let bad_since = Some(SENT_AT - 100 * MS);
+    let events = [
+        listed(),
+        Event::Recalled {
+            endpoint: EndpointId(1),
+            health: Health { bad_since, trouble: true, warm_since: None },
+        },
+        Event::RecalledReceiver {
+            dest: DestId(1),
+            route: None,
+            health: ReceiverHealth { bad_since, ..ReceiverHealth::default() },
+        },
+    ];
+    sender.round(SENT_AT, &events, &mut Vec::new());
+    let mut actions = Vec::new();
+    sender.round(600 * S, &[message(1)], &mut actions);
+    let probes = actions.iter().filter(|action| matches!(action, Action::Probe { .. })).count();
+    assert_eq!((sends(&actions), probes), (1, 0), "{actions:?}");
 }
--- a/tests/restart_grid.rs
+++ b/tests/restart_grid.rs
@@ -101,7 +101,7 @@
 /// No play falls by the stricter bound, and none beyond the wide one.
 fn none_falls(cases: Vec<Return>) {
     let played = play(cases);
-    let fallen: Vec<_> = played.iter().filter(|p| p.falls()).collect();
+    let fallen: Vec<_> = played.iter().filter(|p| p.falls() || p.falls_beyond_the_wide_bound()).collect();
     let lines: Vec<String> = fallen.iter().map(|p| line(p)).collect();
     assert!(fallen.is_empty(), "{} of {} plays fall:\n{}", fallen.len(), played.len(), lines.join("\n"));
 }
