The rehearsal kit writes answers and confirmations of notices a second time

Need: pre-production saw senders fail when an answer came twice on its connection, and no scenario did that. Change: events repeated-answers and repeated-confirmations with share and delay; half of the copies come when the connection's next request arrives. The history records each copy, the report counts them, two scenarios ship.

--- a/crates/rehearsal/src/event.rs
+++ b/crates/rehearsal/src/event.rs
@@ -28,6 +28,9 @@
     Late,
     /// Receivers reject calls with 429 and advertise the time until the end of the event as wait.
     Wait,
+    /// Receivers write a share of their answers a second time, up to `by` later.
+    /// Half of the copies come after that delay, and half as soon as the connection's next request arrives.
+    RepeatedAnswers,
     /// Receivers become cold, as after an outage that no sender saw.
     Cold,
     /// Endpoints drain and are then removed.
@@ -44,6 +47,8 @@
     DirectorySnapshots,
     /// The directory rejects the senders' notices with an error.
     DirectoryDeaf,
+    /// The directory writes a share of its confirmations of notices a second time, as in `RepeatedAnswers`.
+    RepeatedConfirmations,
     /// The directory's version decreases, as after a restore from a backup.
     DirectoryBack,
     /// A sender gets SIGTERM, SIGKILL 3.7 s later if the process still runs, and is started again.
@@ -76,6 +81,8 @@
             }
             EventKind::Slow => (&["for", "factor"], &["receiver", "endpoints"]),
             EventKind::Reset | EventKind::Fail => (&["for", "share"], &["receiver", "endpoints"]),
+            EventKind::RepeatedAnswers => (&["for", "share", "by"], &["receiver", "endpoints"]),
+            EventKind::RepeatedConfirmations => (&["for", "share", "by"], &[]),
             EventKind::Late => (&["for", "by"], &["receiver", "endpoints"]),
             EventKind::Wait => (&["for"], &["receiver", "endpoints"]),
             EventKind::Cold => (&[], &["receiver"]),
@@ -267,6 +274,7 @@
             EventKind::Fail => "fail",
             EventKind::Late => "late",
             EventKind::Wait => "wait",
+            EventKind::RepeatedAnswers => "repeated-answers",
             EventKind::Cold => "cold",
             EventKind::Drain => "drain",
             EventKind::Replace => "replace",
@@ -275,6 +283,7 @@
             EventKind::DirectorySilent => "directory-silent",
             EventKind::DirectorySnapshots => "directory-snapshots",
             EventKind::DirectoryDeaf => "directory-deaf",
+            EventKind::RepeatedConfirmations => "repeated-confirmations",
             EventKind::DirectoryBack => "directory-back",
             EventKind::Sigterm => "sigterm",
             EventKind::Sigkill => "sigkill",
--- a/crates/rehearsal/src/history.rs
+++ b/crates/rehearsal/src/history.rs
@@ -266,6 +266,11 @@
         /// Which side closed the call's connection.
         by: ClosedBy,
     },
+    /// A receiver or the directory wrote an answer to a sender a second time.
+    AnswerRepeated {
+        /// Index of the sender to which the copy was written.
+        sender: usize,
+    },
     /// An endpoint refused a sender's connection.
     Refused {
         /// Index of the sender whose connection was refused.
--- a/crates/rehearsal/src/judge/table.rs
+++ b/crates/rehearsal/src/judge/table.rs
@@ -192,6 +192,8 @@
     pub marks: Vec<(Micros, String)>,
     /// Longest stall of the rig's event loop.
     pub stall: Micros,
+    /// Number of answers that a receiver or the directory wrote a second time.
+    pub repeated_answers: usize,
     /// Whether the history is complete: it has its last record, `end`.
     pub complete: bool,
     /// Time of the history's last record.
@@ -214,7 +216,9 @@
         Event::Reply { .. } => 9,
         Event::Notice { .. } => 10,
         Event::Listing { .. } => 11,
-        Event::Overloaded { .. } | Event::Mark { .. } | Event::Lag { .. } => 12,
+        Event::Overloaded { .. } | Event::AnswerRepeated { .. } | Event::Mark { .. } | Event::Lag { .. } => {
+            12
+        }
         Event::End => 13,
     }
 }
@@ -253,6 +257,7 @@
             status_updates: BTreeMap::new(),
             crashes: Vec::new(),
             refused_connections: Vec::new(),
+            repeated_answers: 0,
             probes: Vec::new(),
             outages: BTreeMap::new(),
             overloaded: Vec::new(),
@@ -385,6 +390,7 @@
                     c.end.get_or_insert((t, CallEnd::Disconnected(*by)));
                 }
             }
+            Event::AnswerRepeated { .. } => self.repeated_answers += 1,
             Event::Refused { sender, endpoint } => {
                 self.refused_connections.push((t, endpoint.clone(), *sender))
             }
--- a/crates/rehearsal/src/report.rs
+++ b/crates/rehearsal/src/report.rs
@@ -97,6 +97,9 @@
     pub latencies: Vec<Latency>,
     /// Counts of calls and messages at each receiver.
     pub receivers: Vec<ReceiverStats>,
+    /// Number of answers that a receiver or the directory wrote a second time.
+    #[serde(default)]
+    pub repeated_answers: usize,
     /// Path of the history or of its folder, where the evidence is.
     pub evidence: String,
 }
@@ -150,6 +153,7 @@
         judgement,
         latencies,
         receivers: receivers(&table),
+        repeated_answers: table.repeated_answers,
         evidence: evidence.into(),
     };
     Ok((report, table))
@@ -352,6 +356,9 @@
         if busiest.len() > MAX_LISTED_RECEIVERS {
             writeln!(out, "  and {} more", busiest.len() - MAX_LISTED_RECEIVERS)?;
         }
+        if self.repeated_answers > 0 {
+            writeln!(out, "\n  {} answers were written a second time", self.repeated_answers)?;
+        }
         write_evenness(out, &judgement.evenness)?;
         let lateness = &judgement.lateness;
         writeln!(
--- a/crates/rehearsal/src/rig/directory.rs
+++ b/crates/rehearsal/src/rig/directory.rs
@@ -2,6 +2,7 @@
 //! A control agent receives changes of endpoints after a delay, and accepts the notices of messages' final outcomes.
 
 use super::World;
+use super::repeated_answer::{Repeat, RepeatSource, RepeatingConnection, draw_repeat};
 use crate::event::RawEvent;
 use crate::history::{EndpointStatus, Event, NoticeState};
 use crate::span::Micros;
@@ -15,6 +16,8 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response};
 use hyper_util::rt::TokioIo;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
 use serde::Deserialize;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, VecDeque};
@@ -26,6 +29,8 @@
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, watch};
 
+/// Beginning of the answer that confirms notices.
+const CONFIRMATION: &[u8] = b"HTTP/1.1 204 ";
 /// Interval of the empty lines that a control agent sends on a watch without changes.
 const HEARTBEAT: Duration = Duration::from_secs(2);
 /// Maximum size of a request with notices.
@@ -59,6 +64,16 @@
     silent: Cell<bool>,
     snapshots: Cell<bool>,
     reject_notices: Cell<bool>,
+    /// Share of the confirmations of notices that are repeated, and the longest delay of the copies.
+    repeats: Cell<Option<(f64, Micros)>>,
+    rng: RefCell<ChaCha8Rng>,
+}
+
+impl RepeatSource for Agent {
+    fn draw(&self, answer: &[u8]) -> Option<Repeat> {
+        let (share, longest) = self.repeats.get().filter(|_| answer.starts_with(CONFIRMATION))?;
+        draw_repeat(&mut *self.rng.borrow_mut(), share, longest)
+    }
 }
 
 /// The directory's control agents, one for each sender.
@@ -98,6 +113,8 @@
                 silent: Cell::new(false),
                 snapshots: Cell::new(false),
                 reject_notices: Cell::new(false),
+                repeats: Cell::new(None),
+                rng: RefCell::new(ChaCha8Rng::seed_from_u64(world.scenario.parameters.seed ^ sender as u64)),
             });
             tokio::task::spawn_local(agent.clone().listen(world.clone(), listener));
             tokio::task::spawn_local(agent.clone().deliver_changes(world.clone()));
@@ -179,6 +196,14 @@
         agents.iter().for_each(|a| a.reject_notices.set(false));
     }
 
+    /// Repeats a share of the confirmations of notices for the duration of the event.
+    pub async fn repeat_confirmations(&self, event: &RawEvent, duration: Duration) {
+        let repeats = (event.share.unwrap_or(0.0), event.by.map_or(0, |by| by.0));
+        self.agents.iter().for_each(|a| a.repeats.set(Some(repeats)));
+        tokio::time::sleep(duration).await;
+        self.agents.iter().for_each(|a| a.repeats.set(None));
+    }
+
     /// Halves the version of the endpoint list and forgets all logged changes.
     /// Watches from other versions then get the complete endpoint list.
     pub fn roll_back(&self, event: &RawEvent) {
@@ -250,6 +275,9 @@
             };
             _ = stream.set_nodelay(true);
             let (agent, world) = (self.clone(), world.clone());
+            let stream =
+                RepeatingConnection::new(stream, world.clone(), self.sender, self.clone(), |stream| stream);
+            let Ok(stream) = stream else { continue };
             let service = service_fn(move |request| agent.clone().answer(world.clone(), request));
             tokio::task::spawn_local(async move {
                 // A killed sender breaks its connections, so errors of the connection are ignored.
--- a/crates/rehearsal/src/rig/mod.rs
+++ b/crates/rehearsal/src/rig/mod.rs
@@ -8,6 +8,7 @@
 mod directory;
 mod management;
 mod receivers;
+mod repeated_answer;
 mod senders;
 
 use crate::event::{EventKind, RawEvent};
@@ -307,6 +308,7 @@
             | EventKind::Fail
             | EventKind::Late
             | EventKind::Wait
+            | EventKind::RepeatedAnswers
             | EventKind::Cold => self.receivers.inject(&event).await,
             EventKind::Drain | EventKind::Replace => self.receivers.replace(&event).await,
             EventKind::Join => self.receivers.join(&event).await,
@@ -314,6 +316,7 @@
             EventKind::DirectorySilent => self.directory.silent(&event, span).await,
             EventKind::DirectorySnapshots => self.directory.snapshots(&event, span).await,
             EventKind::DirectoryDeaf => self.directory.reject_notices(&event, span).await,
+            EventKind::RepeatedConfirmations => self.directory.repeat_confirmations(&event, span).await,
             EventKind::DirectoryBack => self.directory.roll_back(&event),
             EventKind::Sigterm
             | EventKind::Sigkill
--- a/crates/rehearsal/src/rig/receivers/endpoint.rs
+++ b/crates/rehearsal/src/rig/receivers/endpoint.rs
@@ -7,6 +7,7 @@
 use super::{Receiver, Receivers};
 use crate::event::EventKind;
 use crate::history::Event;
+use crate::rig::repeated_answer::RepeatingConnection;
 use crate::span::duration;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -115,11 +116,11 @@
             let (receivers, receiver, endpoint) = (self.clone(), receiver.clone(), endpoint.clone());
             tokio::task::spawn_local(async move {
                 let first_byte = Rc::new(Cell::new(None));
-                let connection = FirstByteRecorder {
-                    stream,
-                    world: receivers.world.clone(),
-                    first_byte: first_byte.clone(),
-                };
+                let (world, source) = (receivers.world.clone(), endpoint.clone());
+                let connection = RepeatingConnection::new(stream, world.clone(), sender, source, |stream| {
+                    FirstByteRecorder { stream, world, first_byte: first_byte.clone() }
+                });
+                let Ok(connection) = connection else { return };
                 let new_connection = Rc::new(Cell::new(true));
                 let service = service_fn(move |request| {
                     let exchange = Exchange {
--- a/crates/rehearsal/src/rig/receivers/fault.rs
+++ b/crates/rehearsal/src/rig/receivers/fault.rs
@@ -3,6 +3,7 @@
 use super::{Endpoint, Receiver, Receivers};
 use crate::event::{EventKind, RawEvent};
 use crate::history::Event;
+use crate::rig::repeated_answer::{Repeat, RepeatSource, draw_repeat};
 use crate::span::Micros;
 use std::rc::Rc;
 
@@ -25,6 +26,13 @@
     }
 }
 
+impl RepeatSource for Endpoint {
+    fn draw(&self, _answer: &[u8]) -> Option<Repeat> {
+        let fault = self.fault(EventKind::RepeatedAnswers)?;
+        draw_repeat(&mut *self.rng.borrow_mut(), fault.share, fault.delay)
+    }
+}
+
 impl Receivers {
     /// Returns the receivers that an event selects, each with its selected endpoints.
     pub(super) fn targets(&self, event: &RawEvent) -> Vec<(Rc<Receiver>, Vec<Rc<Endpoint>>)> {
--- a/crates/rehearsal/src/shipped.rs
+++ b/crates/rehearsal/src/shipped.rs
@@ -27,6 +27,8 @@
     "restart-storm",
     "late-answer",
     "kept-order",
+    "repeated-answers",
+    "repeated-confirmations",
     "return-herd",
     "return-wide",
     "return-many",
--- a/crates/sender/tests/rehearsal.rs
+++ b/crates/sender/tests/rehearsal.rs
@@ -2,20 +2,21 @@
 //! Guards against a daemon that breaks a rule under lagging discovery, late answers, outages and kills.
 //! Guards against a rehearsal kit that gives a wrong verdict on a rehearsal.
 
+#[path = "common/rehearse.rs"]
+mod rehearse;
+
 use embershore_rehearsal::capture::{Tap, capture};
 use embershore_rehearsal::history::{EndpointStatus, Event, NoticeState};
-use embershore_rehearsal::judge::{Absence, Attempt, Message, Rule, Table, Verdict};
+use embershore_rehearsal::judge::{Absence, Attempt, Message, Rule, Verdict};
 use embershore_rehearsal::report::{Report, report};
-use embershore_rehearsal::rig::{self, Options, Subject};
 use embershore_rehearsal::scenario::Scenario;
 use embershore_rehearsal::trace;
+use rehearse::{EXECUTABLE, rehearse, tested};
 use std::io::{BufRead, BufReader, Write};
 use std::net::TcpStream;
 use std::path::{Path, PathBuf};
 use std::process::{Command, Output, Stdio};
 
-const EXECUTABLE: &str = env!("CARGO_BIN_EXE_embershore");
-
 /// Scenario with three receivers and the three effects; its deadlines and key windows end within a test.
 const BASE: &str = r#"
 name = "hard case"
@@ -81,27 +82,6 @@
     Scenario::parse("hard case", &text, Path::new(".")).unwrap()
 }
 
-/// Runs a scenario with real daemons. Asserts that no rule was broken and that the rig was not late.
-fn rehearse(scenario: Scenario) -> (Report, Table) {
-    let folder = tempfile::tempdir().unwrap();
-    let (subject, folder_path) = (Subject::Spawn(EXECUTABLE.into()), folder.path().to_path_buf());
-    let options = Options { subject, folder: folder_path, control: None, serve_only: false, stall: None };
-    let (report, table) = report(&rig::run(scenario, &options, |_| {}).unwrap()).unwrap();
-    assert_eq!(report.judgement.void, None);
-    for r in &report.judgement.rules {
-        // The failure message shows the records of the first message with which the rule was broken.
-        let first = r.violations.iter().find_map(|o| table.message(o.message.as_ref()?));
-        let same = first.map(|f| table.messages.iter().filter(|m| m.origin == f.origin).collect::<Vec<_>>());
-        let calls = same.iter().flatten().flat_map(|m| table.attempts(m)).collect::<Vec<_>>();
-        assert_ne!(r.verdict, Verdict::Broken, "{}: {:?}\n{same:#?}\n{calls:#?}", r.rule, r.violations);
-    }
-    (report, table)
-}
-
-fn tested(report: &Report, rule: Rule) -> usize {
-    report.judgement.ruling(rule).unwrap().tested
-}
-
 #[test]
 fn more_than_half_the_endpoints_replaced_while_the_directory_lags() {
     let events = "
