Each call and each probe has a connection of its own

Callers saw: lost messages, unsafe messages run twice, and two calls with one message out at once, where receivers wrote an answer a second time on its connection. Cause: HTTP/1.1 does not number answers, and a connection was used again after each answer. A copy of one answer counted for the next request; from then on the connection was one answer behind, and each call got its predecessor's. A rest of 2 ms before reuse only caught copies that came within it. Fix: sending consumes the connection, so no second request can be written on it; the first answer on a connection is certainly its own. Answers to batches must name each message of the call and no other. The module is told that no connection stays open (idle_close 0), and takes none for kept then.

--- a/crates/protocol/src/call.rs
+++ b/crates/protocol/src/call.rs
@@ -6,6 +6,7 @@
 use http::HeaderMap;
 use serde::{Deserialize, Serialize};
 use std::borrow::Cow;
+use std::collections::HashMap;
 
 /// Parses the status code in the first line of an HTTP/1 answer; returns `None` if the line is malformed.
 pub fn parse_status(line: &[u8]) -> Option<u16> {
@@ -67,6 +68,23 @@
     pub state: String,
 }
 
+/// Decodes the answer to a batch: the state of each message by its id.
+/// Returns `None` unless the answer gives exactly one state to each of the call's messages and names no other message.
+pub fn decode_states<'a>(
+    answer: &[u8],
+    ids: impl Iterator<Item = &'a str>,
+) -> Option<HashMap<String, String>> {
+    let states: Vec<BatchState> = serde_json::from_slice(answer).ok()?;
+    let given = states.len();
+    let states: HashMap<String, String> = states.into_iter().map(|s| (s.id, s.state)).collect();
+    let mut expected = 0;
+    for id in ids {
+        expected += 1;
+        states.get(id)?;
+    }
+    (given == expected && states.len() == expected).then_some(states)
+}
+
 /// Returns the outcome for a message's state in the answer to a batch, and whether the message is closed.
 /// A missing or unknown state counts as an error, after which the message may have taken effect.
 pub fn outcome_of_state(state: Option<&str>) -> (Outcome, bool) {
--- a/crates/sender/src/calls.rs
+++ b/crates/sender/src/calls.rs
@@ -1,17 +1,18 @@
 //! Makes calls and probes to endpoints and determines their outcomes.
-//! The module holds the idle connections; a connection carries one call at a time.
+//! Each call and each probe has a connection of its own: see [`Connection`] for the reason.
 
+use crate::call_log::CallLog;
 use crate::connection::{Connection, Traffic};
 use crate::endpoint_table::EndpointTable;
 use crate::input::{CallEnd, MessageOutcome};
 use crate::metrics::Metrics;
 use bytes::Bytes;
-use embershore_protocol::call::{AnswerHead, BatchState, encode_batch, outcome_of_state, read_head};
+use embershore_protocol::call::{AnswerHead, decode_states, encode_batch, outcome_of_state, read_head};
 use heronroute::{DestId, EndpointId, LoadReport, Micros, MsgId, Outcome};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::Request;
-use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, VecDeque};
+use std::cell::RefCell;
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -19,25 +20,8 @@
 
 /// Size limit in bytes of a response's body.
 const MAX_RESPONSE_BYTES: usize = 64 * 1024;
-/// Minimum age of a new connection, and minimum idle time of a reused connection, before a request is written.
-/// The pause leaves time for the reset of a new connection, and for stray bytes after a response.
-/// Without the pause, stray bytes on the connection would be read as the response to the next request.
+/// Minimum age of a connection before its request is written, which leaves time for an immediate reset.
 const SETTLE_TIME: Duration = Duration::from_millis(2);
-/// Time after a request was written within which a reset shows that a reused connection was unusable before.
-/// A reused connection that is reset within this time counts as dropped by the peer before the request.
-const IMMEDIATE_RESET: Duration = Duration::from_millis(100);
-/// Minimum of the idle lifetime: connections idle for no longer than this minimum are always reused.
-const MIN_IDLE_LIFETIME: Duration = Duration::from_millis(50);
-/// Time for which resets of reused connections shorten the idle lifetime.
-const STALE_RETENTION: Duration = Duration::from_secs(10);
-/// Maximum number of resets of reused connections that are recorded.
-const MAX_STALE_RECORDS: usize = 64;
-/// Fraction of the endpoints' idle timeout for which an idle connection stays open.
-/// An endpoint may close a connection before the full timeout, and a request sent at that moment is reset.
-pub const IDLE_LIFETIME_SHARE: f64 = 0.8;
-/// Maximum number of idle connections while another process of this sender runs.
-/// The two processes of a sender together have the descriptor limit of one process.
-const MAX_IDLE_DURING_HANDOVER: usize = 24;
 /// Maximum number of concurrent probes. Each probe uses a descriptor in addition to the calls' descriptors.
 pub const MAX_PROBES: usize = 8;
 
@@ -53,7 +37,10 @@
 
 /// The arguments of one call: the endpoint and its lane, the messages, their form and the timeout.
 pub struct CallSpec {
+    /// Number of the call, unique in the process.
+    pub number: u64,
     pub endpoint: EndpointId,
+    pub endpoint_name: String,
     pub addr: SocketAddr,
     /// The lane to which a wait in the response applies.
     pub lane: Lane,
@@ -102,15 +89,15 @@
 struct CallProgress {
     /// Messages that were not sent with the call because they had ended before the call began.
     left_out: RefCell<Vec<MsgId>>,
-    /// The traffic of the call's connection, and the number of bytes written on the connection before the call.
-    traffic: RefCell<Option<(Rc<Traffic>, u64)>>,
+    /// The traffic of the call's connection, once the request may be written.
+    traffic: RefCell<Option<Rc<Traffic>>>,
     head: RefCell<Option<ResponseSummary>>,
 }
 
 impl CallProgress {
     /// Whether the last byte of the call's request has been written.
     fn fully_written(&self) -> bool {
-        self.traffic.borrow().as_ref().is_some_and(|(t, before)| t.flushed.get() > *before)
+        self.traffic.borrow().as_ref().is_some_and(|traffic| traffic.flushed.get() > 0)
     }
 
     /// Whether any byte of the call's request may have been written.
@@ -128,7 +115,7 @@
     /// An incomplete response with another status proves nothing, but a wait in the response's head applies.
     fn incomplete(&self, spec: &CallSpec, outcome: Outcome) -> ResponseSummary {
         let head = self.head.take().unwrap_or_else(|| ResponseSummary::without_response(outcome));
-        let status = self.traffic.borrow().as_ref().and_then(|(t, _)| t.status.get());
+        let status = self.traffic.borrow().as_ref().and_then(|traffic| traffic.status.get());
         if status == Some(200) && !spec.batch {
             return ResponseSummary {
                 report: head.report,
@@ -140,54 +127,26 @@
     }
 }
 
-/// A reused connection that was reset when its next request was written.
-struct StaleConnection {
-    endpoint: EndpointId,
-    at: Instant,
-    idle_for: Duration,
-}
-
-/// Makes the calls: holds the idle connections to all endpoints and the waits that receivers advertised.
+/// Makes the calls, each on a connection of its own, and keeps the waits that receivers advertised.
 pub struct Calls {
-    stale: RefCell<VecDeque<StaleConnection>>,
     endpoints: Rc<RefCell<EndpointTable>>,
     metrics: Rc<Metrics>,
-    idle: RefCell<HashMap<EndpointId, Vec<Connection>>>,
+    log: CallLog,
     waits: RefCell<HashMap<Lane, Instant>>,
-    max_idle: usize,
-    /// Whether another process of this sender shares the descriptor limit, so that fewer connections may be idle.
-    two_processes: Rc<Cell<bool>>,
     probes: Semaphore,
-    max_idle_time: Duration,
     connect_timeout: Duration,
 }
 
 impl Calls {
-    /// Creates the object that makes calls. The object has no connections at first.
-    /// `max_idle_time` is the longest time for which a connection may be idle.
-    /// `max_idle` is the maximum number of idle connections to endpoints.
+    /// Creates the object that makes calls.
     pub fn new(
         endpoints: Rc<RefCell<EndpointTable>>,
         metrics: Rc<Metrics>,
-        max_idle_time: Duration,
+        log: CallLog,
         connect_timeout: Duration,
-        max_idle: usize,
-        two_processes: Rc<Cell<bool>>,
     ) -> Self {
-        let (idle, waits, stale) = (RefCell::default(), RefCell::default(), RefCell::default());
-        let probes = Semaphore::new(MAX_PROBES);
-        Calls {
-            stale,
-            endpoints,
-            metrics,
-            idle,
-            waits,
-            max_idle,
-            two_processes,
-            probes,
-            max_idle_time,
-            connect_timeout,
-        }
+        let (waits, probes) = (RefCell::default(), Semaphore::new(MAX_PROBES));
+        Calls { endpoints, metrics, log, waits, probes, connect_timeout }
     }
 
     /// Whether a call may begin now. A drain or a wait may have been reported since the dispatcher decided on the call.
@@ -208,83 +167,6 @@
         }
     }
 
-    /// Closes the idle connections to an endpoint.
-    pub fn close(&self, endpoint: EndpointId) {
-        self.idle.borrow_mut().remove(&endpoint);
-    }
-
-    /// Closes all idle connections.
-    pub fn close_all(&self) {
-        self.idle.borrow_mut().clear();
-    }
-
-    /// Closes the connections that have been idle for longer than the idle lifetime.
-    pub fn close_expired(&self) {
-        self.idle.borrow_mut().retain(|endpoint, connections| {
-            let max_age = self.idle_lifetime(*endpoint);
-            connections.retain(|c| c.idle_since.elapsed() < max_age);
-            !connections.is_empty()
-        });
-    }
-
-    /// Returns how long a connection to the endpoint may be idle and still be reused.
-    /// The limited idle time guards against connections that the endpoint or the network has dropped unnoticed.
-    /// The next request on a dropped connection is reset, and may or may not have taken effect at the receiver.
-    /// An unsafe message can't be repeated after a reset of its request, and is lost.
-    /// For [`STALE_RETENTION`] after a reset, the lifetime is half of the shortest idle time that ended in a reset.
-    /// The shorter idle lifetime makes the sender open more new connections.
-    /// The shorter idle lifetime applies to the endpoint alone, or to all endpoints if several endpoints had resets.
-    fn idle_lifetime(&self, endpoint: EndpointId) -> Duration {
-        let mut stale = self.stale.borrow_mut();
-        stale.retain(|s| s.at.elapsed() < STALE_RETENTION);
-        let at_several_endpoints = stale.iter().any(|s| s.endpoint != stale[0].endpoint);
-        let relevant = stale.iter().filter(|s| at_several_endpoints || s.endpoint == endpoint);
-        let shortest = relevant.map(|s| (s.idle_for / 2).max(MIN_IDLE_LIFETIME)).min();
-        shortest.unwrap_or(self.max_idle_time).min(self.max_idle_time)
-    }
-
-    fn record_stale(&self, endpoint: EndpointId, idle_for: Duration) {
-        let mut stale = self.stale.borrow_mut();
-        stale.truncate(MAX_STALE_RECORDS - 1);
-        stale.push_front(StaleConnection { endpoint, at: Instant::now(), idle_for });
-    }
-
-    /// Takes a reusable idle connection to the endpoint, if there is one.
-    fn take_idle(&self, endpoint: EndpointId, addr: SocketAddr) -> Option<Connection> {
-        let max_age = self.idle_lifetime(endpoint);
-        let mut idle = self.idle.borrow_mut();
-        let connections = idle.get_mut(&endpoint)?;
-        // A later endpoint list may contain the endpoint with another address.
-        connections.retain(|c| c.addr() == addr && c.idle_since.elapsed() < max_age);
-        while let Some(at) = connections.iter().rposition(|c| c.idle_since.elapsed() >= SETTLE_TIME) {
-            if let Some(connection) = connections.remove(at).if_usable() {
-                return Some(connection);
-            }
-        }
-        None
-    }
-
-    /// Keeps a connection for reuse. At the limit of idle connections, the longest idle connection is closed first.
-    fn put_idle(&self, endpoint: EndpointId, connection: Connection) {
-        let Some(mut connection) = connection.if_usable() else { return };
-        connection.idle_since = Instant::now();
-        let mut idle = self.idle.borrow_mut();
-        let max_idle = if self.two_processes.get() {
-            self.max_idle.min(MAX_IDLE_DURING_HANDOVER)
-        } else {
-            self.max_idle
-        };
-        if max_idle == 0 {
-            return;
-        }
-        if idle.values().map(Vec::len).sum::<usize>() >= max_idle
-            && let Some(oldest) = idle.values_mut().filter(|c| !c.is_empty()).min_by_key(|c| c[0].idle_since)
-        {
-            oldest.remove(0);
-        }
-        idle.entry(endpoint).or_default().push(connection);
-    }
-
     /// Makes a call. Right before the first byte is written, `begin` returns the messages to send.
     /// Some of the call's messages may have ended while the connection was opening.
     /// If `begin` returns no message, nothing is sent. `cancelled` ends the call by closing its connection.
@@ -316,9 +198,12 @@
             };
             MessageOutcome { id: item.id, attempt: item.attempt, outcome, closes_message }
         });
+        let outcomes: Vec<MessageOutcome> = outcomes.collect();
+        let status = progress.traffic.borrow().as_ref().and_then(|traffic| traffic.status.get());
+        self.log.ended(spec, status, &outcomes, start.elapsed());
         let elapsed = start.elapsed().as_micros() as Micros;
         let ResponseSummary { wait, report, .. } = response;
-        CallEnd { endpoint: spec.endpoint, outcomes: outcomes.collect(), elapsed, wait, report }
+        CallEnd { endpoint: spec.endpoint, outcomes, elapsed, wait, report }
     }
 
     async fn attempt(
@@ -328,18 +213,11 @@
         begin: impl FnOnce() -> Vec<MsgId>,
         progress: &CallProgress,
     ) -> ResponseSummary {
-        let endpoint = spec.endpoint;
-        let reused = self.take_idle(endpoint, spec.addr);
-        let idle_for = reused.as_ref().map(|c| c.idle_since.elapsed());
-        let opened = match reused {
-            Some(connection) => Some(connection),
-            None => tokio::time::timeout(self.connect_timeout, open_settled(spec.addr)).await.ok().flatten(),
-        };
-        let Some(mut connection) = opened else {
+        let opened = tokio::time::timeout(self.connect_timeout, open_settled(spec.addr)).await;
+        let Some(connection) = opened.ok().flatten() else {
             return ResponseSummary::without_response(Outcome::Unreached);
         };
-        if !self.may_begin(endpoint, spec.lane) {
-            self.put_idle(endpoint, connection);
+        if !self.may_begin(spec.endpoint, spec.lane) {
             return ResponseSummary::without_response(Outcome::Skipped);
         }
         let to_send = begin();
@@ -347,33 +225,20 @@
             spec.items.iter().partition(|item| to_send.contains(&item.id));
         let time_left = spec.timeout.saturating_sub(start.elapsed());
         let request = (!items.is_empty()).then(|| request(spec, &items, time_left).ok()).flatten();
-        let Some(request) = request else {
-            self.put_idle(endpoint, connection);
-            return ResponseSummary::without_response(Outcome::Skipped);
-        };
+        let Some(request) = request else { return ResponseSummary::without_response(Outcome::Skipped) };
         progress.left_out.replace(left_out.iter().map(|item| item.id).collect());
         let traffic = connection.traffic.clone();
         let (metrics, messages) = (self.metrics.clone(), items.len() as u64);
         traffic.on_request_written(move || metrics.forwards.set(metrics.forwards.get() + messages));
-        progress.traffic.replace(Some((traffic.clone(), traffic.written.get())));
-        let written = Instant::now();
+        progress.traffic.replace(Some(traffic.clone()));
+        self.log.opened(spec, &items);
         let complete = tokio::select! {
             biased;
-            complete = self.exchange(&mut connection, spec, request, progress) => complete,
+            complete = self.exchange(connection, spec, &items, request, progress) => complete,
             () = traffic.response_overdue() => None,
         };
-        if let Some(idle_for) = idle_for.filter(|r| *r > MIN_IDLE_LIFETIME)
-            && (complete.is_none()
-                && traffic.response_began.get().is_none()
-                && written.elapsed() < IMMEDIATE_RESET)
-        {
-            self.record_stale(endpoint, idle_for);
-        }
         match complete {
-            Some(response) => {
-                self.put_idle(endpoint, connection);
-                response
-            }
+            Some(response) => response,
             None if !progress.fully_written() => ResponseSummary::without_response(Outcome::ConnectFailed),
             // A closed connection is evidence about the endpoint's health.
             // An unparsable response on a connection that stays open is no such evidence.
@@ -387,52 +252,45 @@
     /// Sends a request and reads its response to the end; None if no readable response came.
     async fn exchange(
         &self,
-        connection: &mut Connection,
+        connection: Connection,
         spec: &CallSpec,
+        items: &[&CallItem],
         request: Request<Full<Bytes>>,
         progress: &CallProgress,
     ) -> Option<ResponseSummary> {
-        let response = connection.send(request).await.ok()?;
-        let mut summary =
-            ResponseSummary::from_head(read_head(response.status().as_u16(), response.headers()));
+        let mut answer = connection.send(request).await.ok()?;
+        let mut summary = ResponseSummary::from_head(read_head(answer.status, &answer.headers));
         self.record_wait(spec.lane, summary.wait);
         progress.head.replace(Some(summary.clone()));
-        let body =
-            connection.drive(Limited::new(response.into_body(), MAX_RESPONSE_BYTES).collect()).await.ok()?;
+        let body = answer.read_body(MAX_RESPONSE_BYTES).await.ok()?;
+        if answer.close() {
+            self.metrics.stray_answers.count(&spec.endpoint_name);
+        }
         if summary.outcome == Outcome::Done && spec.batch {
-            // Without readable states in the response, the messages may or may not have taken effect at the receiver.
-            let Ok(states) = serde_json::from_slice::<Vec<BatchState>>(&body.to_bytes()) else {
+            // Without the state of exactly the call's messages, they may or may not have taken effect at the receiver.
+            let ids = items.iter().map(|item| item.request_id.as_str());
+            let Some(states) = decode_states(&body, ids) else {
                 return Some(ResponseSummary {
                     outcome: Outcome::MalformedAnswer,
                     closes_message: false,
                     ..summary
                 });
             };
-            summary.states = Some(states.into_iter().map(|s| (s.id, s.state)).collect());
+            summary.states = Some(states);
         }
         Some(summary)
     }
 
-    /// Probes an endpoint's health, on an idle connection or else on a new connection.
-    pub async fn probe(&self, endpoint: EndpointId, addr: SocketAddr) -> (Outcome, Option<LoadReport>) {
+    /// Probes an endpoint's health.
+    pub async fn probe(&self, addr: SocketAddr) -> (Outcome, Option<LoadReport>) {
         let Ok(_permit) = self.probes.try_acquire() else { return (Outcome::Skipped, None) };
         let work = async {
-            let mut connection = match self.take_idle(endpoint, addr) {
-                Some(connection) => connection,
-                None => match Connection::open(addr).await {
-                    Ok(connection) => connection,
-                    Err(_) => return (Outcome::ConnectFailed, None),
-                },
-            };
+            let Ok(connection) = Connection::open(addr).await else { return (Outcome::ConnectFailed, None) };
             let request = Request::get("/healthz").header("host", addr.to_string());
-            let Ok(request) = request.body(Full::new(Bytes::new())) else { return (Outcome::Skipped, None) };
-            let Ok(response) = connection.send(request).await else { return (Outcome::Reset, None) };
-            let head = read_head(response.status().as_u16(), response.headers());
-            let body =
-                connection.drive(Limited::new(response.into_body(), MAX_RESPONSE_BYTES).collect()).await;
-            if body.is_ok() {
-                self.put_idle(endpoint, connection);
-            }
+            let request = request.header("connection", "close").body(Full::new(Bytes::new()));
+            let Ok(request) = request else { return (Outcome::Skipped, None) };
+            let Ok(answer) = connection.send(request).await else { return (Outcome::Reset, None) };
+            let head = read_head(answer.status, &answer.headers);
             (head.outcome, head.report)
         };
         tokio::time::timeout(self.connect_timeout, work).await.unwrap_or((Outcome::TimedOut, None))
@@ -455,6 +313,7 @@
     let head = Request::builder()
         .method("POST")
         .header("host", spec.addr.to_string())
+        .header("connection", "close")
         .header("x-timeout", format!("{}m", time_left.as_millis().max(1)));
     Ok(match items {
         [item] if !spec.batch => {
--- a/crates/sender/src/connection.rs
+++ b/crates/sender/src/connection.rs
@@ -3,12 +3,13 @@
 
 use bytes::{Bytes, BytesMut};
 use embershore_protocol::call::parse_status;
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
-use hyper::{Request, Response};
+use hyper::{HeaderMap, Request};
 use hyper_util::rt::TokioIo;
 use std::cell::Cell;
+use std::error::Error;
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
@@ -163,17 +164,48 @@
     }
 }
 
-type Driver = http1::Connection<TokioIo<Socket>, Full<Bytes>>;
+/// The half of an HTTP connection that reads and writes its socket whenever the driver is polled.
+struct Driver {
+    connection: http1::Connection<TokioIo<Socket>, Full<Bytes>>,
+    /// Whether the connection has ended, after which it must not be polled again.
+    ended: bool,
+}
+
+impl Driver {
+    fn poll(&mut self, cx: &mut Context<'_>) {
+        self.ended = self.ended || Pin::new(&mut self.connection).poll(cx).is_ready();
+    }
+
+    /// Drives the connection until `work` completes.
+    async fn drive<F: Future>(&mut self, work: F) -> F::Output {
+        let mut work = pin!(work);
+        std::future::poll_fn(|cx| {
+            self.poll(cx);
+            work.as_mut().poll(cx)
+        })
+        .await
+    }
+
+    /// Returns whether bytes were read that belong to no answer.
+    fn has_unread_bytes(self) -> bool {
+        let parts = self.connection.into_parts();
+        !parts.read_buf.is_empty() || !parts.io.into_inner().unread.is_empty()
+    }
+}
 
-/// An HTTP/1.1 connection that no background task drives, so that dropping it closes the socket immediately.
+/// A new HTTP/1.1 connection, which carries one request.
+///
+/// HTTP/1.1 does not number its answers: an answer belongs to a request only because it is the next one on the
+/// connection. A peer or a proxy that writes an answer twice shifts all later answers by one. The first answer on a
+/// connection is therefore the only one that certainly belongs to its request, and no connection is used again.
+///
+/// No background task drives the connection, so that dropping it closes the socket immediately.
 /// An abandoned call is therefore never still in flight when the message's next call begins.
 pub struct Connection {
     requests: http1::SendRequest<Full<Bytes>>,
-    driver: Option<Driver>,
+    driver: Driver,
     pub traffic: Rc<Traffic>,
     addr: SocketAddr,
-    /// When the last exchange of a request and its response on this connection ended.
-    pub idle_since: Instant,
 }
 
 impl Connection {
@@ -184,8 +216,8 @@
         let traffic = Rc::new(Traffic::default());
         let socket = TokioIo::new(Socket::new(stream, traffic.clone()));
         let handshake = http1::Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(socket);
-        let (requests, driver) = handshake.await.map_err(io::Error::other)?;
-        Ok(Connection { requests, driver: Some(driver), traffic, addr, idle_since: Instant::now() })
+        let (requests, connection) = handshake.await.map_err(io::Error::other)?;
+        Ok(Connection { requests, driver: Driver { connection, ended: false }, traffic, addr })
     }
 
     /// Returns the peer's address as given to [`Connection::open`].
@@ -193,53 +225,66 @@
         self.addr
     }
 
-    /// Drives the connection until `work` completes.
-    pub async fn drive<F: Future>(&mut self, work: F) -> F::Output {
-        let mut work = pin!(work);
-        std::future::poll_fn(|cx| {
-            if let Some(driver) = &mut self.driver
-                && Pin::new(driver).poll(cx).is_ready()
-            {
-                self.driver = None;
-            }
-            work.as_mut().poll(cx)
-        })
-        .await
+    /// Returns the connection if the peer has neither closed it nor written anything on it.
+    pub fn if_usable(mut self) -> Option<Self> {
+        self.driver.poll(&mut Context::from_waker(std::task::Waker::noop()));
+        (!self.driver.ended && self.requests.is_ready()).then_some(self)
     }
 
-    /// Sends a request and waits for the response's head.
-    pub async fn send(&mut self, request: Request<Full<Bytes>>) -> hyper::Result<Response<Incoming>> {
-        self.traffic.begin_request();
-        let answer = self.requests.send_request(request);
-        let mut driver = self.driver.take();
-        let mut answer = pin!(answer);
-        let result = std::future::poll_fn(|cx| {
+    /// Sends the connection's only request and waits for the answer's head.
+    pub async fn send(self, request: Request<Full<Bytes>>) -> hyper::Result<Answer> {
+        let Connection { mut requests, mut driver, traffic, .. } = self;
+        traffic.begin_request();
+        let response = requests.send_request(request);
+        let mut response = pin!(response);
+        let response = std::future::poll_fn(|cx| {
             // The request is polled twice. The connection's driver writes the request that the first poll passed to it.
             // The response may be complete once the connection's driver has been polled.
-            if let Poll::Ready(r) = answer.as_mut().poll(cx) {
+            if let Poll::Ready(r) = response.as_mut().poll(cx) {
                 return Poll::Ready(r);
             }
-            if let Some(d) = &mut driver
-                && Pin::new(d).poll(cx).is_ready()
-            {
-                driver = None;
-            }
-            answer.as_mut().poll(cx)
+            driver.poll(cx);
+            response.as_mut().poll(cx)
         })
-        .await;
-        self.driver = driver;
-        result
+        .await?;
+        let (head, body) = response.into_parts();
+        let status = head.status.as_u16();
+        Ok(Answer { status, headers: head.headers, body, driver, _requests: requests })
+    }
+}
+
+/// The answer to a connection's only request. Dropping it closes the connection.
+pub struct Answer {
+    /// HTTP status of the answer.
+    pub status: u16,
+    /// Headers of the answer.
+    pub headers: HeaderMap,
+    body: Incoming,
+    driver: Driver,
+    /// Kept so that the driver goes on reading: without it the driver would close the connection.
+    _requests: http1::SendRequest<Full<Bytes>>,
+}
+
+impl Answer {
+    /// Reads the next chunk of the body, of any length; None at the end of the body.
+    pub async fn read_chunk(&mut self) -> Option<hyper::Result<Bytes>> {
+        let frame = self.driver.drive(self.body.frame()).await?;
+        Some(frame.map(|frame| frame.into_data().unwrap_or_default()))
     }
 
-    /// Returns the connection if another request can be sent on it, and None if the peer has closed it.
-    pub fn if_usable(mut self) -> Option<Self> {
-        let mut cx = Context::from_waker(std::task::Waker::noop());
-        if let Some(driver) = &mut self.driver
-            && Pin::new(driver).poll(&mut cx).is_ready()
-        {
-            self.driver = None;
-        }
-        (self.driver.is_some() && self.requests.is_ready()).then_some(self)
+    /// Reads the body to its end.
+    ///
+    /// # Errors
+    /// The connection breaks, the body is malformed, or it has more than `max_bytes` bytes.
+    pub async fn read_body(&mut self, max_bytes: usize) -> Result<Bytes, Box<dyn Error + Send + Sync>> {
+        let body = Limited::new(&mut self.body, max_bytes);
+        Ok(self.driver.drive(body.collect()).await?.to_bytes())
+    }
+
+    /// Closes the connection after the body has been read to its end.
+    /// Returns whether the peer had written more by then, which belongs to no request.
+    pub fn close(self) -> bool {
+        self.driver.has_unread_bytes()
     }
 }
 
--- a/crates/sender/src/daemon.rs
+++ b/crates/sender/src/daemon.rs
@@ -1,5 +1,6 @@
 //! The daemon: reads the configuration and the environment, then builds and runs the daemon's components.
 
+use crate::call_log::CallLog;
 use crate::clients::Origin;
 use crate::clock::Clock;
 use crate::driver::{Driver, HandoverContext, InitialList, Parts};
@@ -18,7 +19,6 @@
 use embershore_options::{Options, OptionsError};
 use embershore_owed::ClassFacts;
 use embershore_placement::MAX_REPLICAS;
-use embershore_placement::options::PlacementOptions;
 use embershore_protocol::listing::Listing;
 use embershore_protocol::settings::{ProfileData, setting_path};
 use heronroute::{ClassSettings, MsgId, SettingsError};
@@ -44,22 +44,9 @@
 const LIST_POLL_INTERVAL: Duration = Duration::from_millis(2);
 /// Capacity of the driver's input queue. A task that sends to the full queue waits.
 const MAX_QUEUED_INPUTS: usize = 1024;
-/// Descriptors for everything except clients and endpoints: 16 in use, and as many again kept free.
-/// In use are the standard streams, the event queue and its signals, the listener and a client being rejected.
-/// Also in use are the journal, the journal's compacted copy and the configuration.
-/// Connections in use: discovery's current and next connection, and the connection for notices to the platform.
-const OWN_DESCRIPTORS: usize = 32;
-
 /// The largest number of bytes that a semaphore can count; more than any machine's memory.
 const MAX_COUNTED_BYTES: usize = tokio::sync::Semaphore::MAX_PERMITS;
 
-/// Descriptors of the management interface: the listener and the connections.
-/// At the connection limit, a new connection is open in addition while the oldest connection is being closed.
-const MGMT_DESCRIPTORS: usize = mgmt::MAX_CALLERS + 2;
-
-/// Number of descriptors that placement uses in addition to its connections to other members.
-/// Placement uses descriptors for the listener for other members, a connection to a control agent and a state file.
-const PLACEMENT_DESCRIPTORS: usize = 3;
 /// Time that a starting sender waits for the member list from a control agent.
 const MEMBER_LIST_WAIT: Duration = Duration::from_secs(2);
 /// Time that a starting sender waits for the placement table to be built from the member list.
@@ -120,16 +107,6 @@
             bodies: eighth_of_memory,
         }
     }
-
-    /// Returns the maximum number of idle connections to endpoints.
-    /// The maximum is the number of descriptors that clients, calls, probes, other members and own files leave.
-    fn max_idle_connections(&self, slots: usize, mgmt: bool, placement: Option<&PlacementOptions>) -> usize {
-        let mgmt = if mgmt { MGMT_DESCRIPTORS } else { 0 };
-        let members = placement.map_or(0, |options| options.max_owner_connections + PLACEMENT_DESCRIPTORS);
-        let other_descriptors =
-            self.clients().connections + slots + calls::MAX_PROBES + OWN_DESCRIPTORS + mgmt + members;
-        self.sockets.saturating_sub(other_descriptors)
-    }
 }
 
 impl Config {
@@ -358,8 +335,8 @@
         _ => None,
     };
 
-    // The dispatcher prefers endpoints with an open connection, so it must know how long idle connections stay open.
-    settings.idle_close = (settings.idle_close.max(0) as f64 * calls::IDLE_LIFETIME_SHARE) as i64;
+    // Each call has a connection of its own, so the dispatcher must not count on connections that stay open.
+    settings.idle_close = 0;
     let endpoints = Rc::new(RefCell::new(endpoint_table::EndpointTable::new(names.clone())));
     let metrics = Rc::new(Metrics::default());
     let shared = clients::Shared::default();
@@ -367,14 +344,8 @@
     let calls = calls::Calls::new(
         endpoints.clone(),
         metrics.clone(),
-        Duration::from_micros(settings.idle_close as u64),
+        CallLog::from_environment(),
         Duration::from_micros(connect_timeout as u64),
-        config.limits.max_idle_connections(
-            settings.slots as usize,
-            mgmt.is_some(),
-            placement.as_ref().map(|p| &p.options),
-        ),
-        shared.two_processes.clone(),
     );
     let (inputs, inbox) = mpsc::channel(MAX_QUEUED_INPUTS);
     let (notices, queue) = mpsc::unbounded_channel();
--- a/crates/sender/src/discovery.rs
+++ b/crates/sender/src/discovery.rs
@@ -1,6 +1,6 @@
 //! The discovery client: obtains the endpoint listing and follows its changes.
 
-use crate::connection::Connection;
+use crate::connection::{Answer, Connection};
 use crate::endpoint_table::EndpointTable;
 use crate::input::Input;
 use crate::list_limit::{self, ListLimit, TooLong};
@@ -10,9 +10,8 @@
 use crate::poll_schedule::PollSchedule;
 use bytes::Bytes;
 use embershore_protocol::listing::{Listing, ListingError, endpoints_started};
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::Request;
-use hyper::body::Incoming;
 use std::cell::RefCell;
 use std::io;
 use std::net::SocketAddr;
@@ -192,8 +191,7 @@
 
 /// Discovery's response with one or more endpoint listings, read as the response arrives.
 struct ListStream {
-    connection: Connection,
-    body: Incoming,
+    answer: Answer,
     listings: ListReader,
     limit: ListLimit,
     /// When the stream was last between two listings, without an incomplete one.
@@ -203,7 +201,7 @@
 impl ListStream {
     /// Sends the request for a listing and checks the response's status.
     async fn open(
-        mut connection: Connection,
+        connection: Connection,
         path: &str,
         costly: bool,
         sink: &ListingSink,
@@ -216,24 +214,21 @@
             .await
             .map_err(timed_out)?
             .map_err(io::Error::other)?;
-        let status = response.status();
+        let status = response.status;
         if status != 200 {
-            let busy = status.is_server_error() || status == 429;
+            let busy = status >= 500 || status == 429;
             let kind = if busy { io::ErrorKind::ResourceBusy } else { io::ErrorKind::Other };
             return Err(io::Error::new(kind, format!("{path}: response status {status}, expected 200")));
         }
-        let (body, listings) = (response.into_body(), ListReader::new(sink.placement.as_ref()));
-        Ok(ListStream { connection, body, listings, limit: sink.limit, last_progress: Instant::now() })
+        let listings = ListReader::new(sink.placement.as_ref());
+        Ok(ListStream { answer: response, listings, limit: sink.limit, last_progress: Instant::now() })
     }
 
     /// Reads the next chunk of the response's body; None at the end of the body.
     async fn read(&mut self) -> io::Result<Option<Bytes>> {
         let until = (self.last_progress + STALL_TIMEOUT).into();
-        let frame = self.connection.drive(self.body.frame());
-        let Some(frame) = tokio::time::timeout_at(until, frame).await.map_err(timed_out)? else {
-            return Ok(None);
-        };
-        Ok(Some(frame.map_err(io::Error::other)?.into_data().unwrap_or_default()))
+        let chunk = tokio::time::timeout_at(until, self.answer.read_chunk()).await.map_err(timed_out)?;
+        chunk.transpose().map_err(io::Error::other)
     }
 
     /// Reads the complete body of the response as one endpoint listing.
--- a/crates/sender/src/driver.rs
+++ b/crates/sender/src/driver.rs
@@ -43,8 +43,8 @@
 const CALL_DEADLINE_US: Micros = 3_300_000;
 /// Time from SIGTERM until the process exits even with open messages: the platform kills the process soon after.
 const EXIT_DEADLINE_US: Micros = 3_500_000;
-/// Interval at which expired idle connections are closed; also the longest time between two rounds.
-const IDLE_SWEEP_INTERVAL_US: Micros = 500_000;
+/// Longest time between two rounds, for conditions that depend on the clock alone.
+const MAX_ROUND_INTERVAL_US: Micros = 500_000;
 /// Placeholder for a message's remaining time, which [`Driver::set_time_left`] fills in when the round begins.
 const SET_IN_ROUND: Micros = 0;
 /// Error reply for a destination that occurs in no endpoint list.
@@ -185,14 +185,13 @@
         self.round();
         _ = self.status.change(Change::Started);
         let mut last_round = self.clock.now();
-        let mut last_sweep = last_round;
         loop {
             let timer = self.timers.peek().map_or(Micros::MAX, |Reverse((at, _))| *at);
             let pending_events = if self.events.is_empty() { Micros::MAX } else { last_round };
             // The dispatcher runs at most one round per quantum.
             // Rounds also run without events, for conditions that depend on the clock alone.
             let wake = timer.min(pending_events).max(last_round + self.quantum);
-            let wake = wake.min(last_round + IDLE_SWEEP_INTERVAL_US).min(self.next_exit_check(last_round));
+            let wake = wake.min(last_round + MAX_ROUND_INTERVAL_US).min(self.next_exit_check(last_round));
             tokio::select! {
                 biased;
                 input = inbox.recv() => {
@@ -215,10 +214,6 @@
             }
             last_round = self.clock.now();
             self.round();
-            if last_round - last_sweep >= IDLE_SWEEP_INTERVAL_US {
-                last_sweep = last_round;
-                self.calls.close_expired();
-            }
             if self.can_exit(last_round) {
                 if self.recovered.any() {
                     eprintln!("{}", self.recovered);
@@ -565,9 +560,9 @@
                 Action::Fail { id } => self.end_undelivered(id, End::Failed),
                 Action::Timer { at, token } => self.timers.push(Reverse((at, token))),
                 Action::Probe { endpoint } => self.probe(endpoint),
-                Action::CloseIdle { endpoint } => self.calls.close(endpoint),
-                // The dispatcher can broadcast data to peers, but the senders of this daemon exchange none.
-                Action::Broadcast { .. } => {}
+                // The dispatcher can close idle connections and broadcast data to peers.
+                // This daemon keeps no idle connections, and its senders exchange no data.
+                Action::CloseIdle { .. } | Action::Broadcast { .. } => {}
             }
         }
         for (endpoint, items) in sends.into_values() {
@@ -649,7 +644,8 @@
         let lane = self.lane(endpoint, &target);
         let batch = items.len() > 1;
         let timeout = Duration::from_micros(longest.max(1) as u64);
-        let spec = CallSpec { endpoint, addr, lane, items, batch, timeout };
+        let endpoint_name = target.name.clone();
+        let spec = CallSpec { number: call, endpoint, endpoint_name, addr, lane, items, batch, timeout };
         let (cancel, cancelled) = oneshot::channel();
         self.calls_in_flight.insert(call, Some(cancel));
         let (calls, journal, inputs, clock) =
@@ -698,7 +694,7 @@
         };
         let (calls, inputs) = (self.calls.clone(), self.inputs.clone());
         tokio::task::spawn_local(async move {
-            let (outcome, report) = calls.probe(endpoint, addr).await;
+            let (outcome, report) = calls.probe(addr).await;
             _ = inputs.send(Input::Probed(endpoint, outcome, report)).await;
         });
     }
--- a/crates/sender/src/driver/handover.rs
+++ b/crates/sender/src/driver/handover.rs
@@ -183,7 +183,6 @@
     /// Returns once no call and no client connection is left, or at the exit deadline.
     pub(super) async fn forward_until_idle(mut self, mut inbox: mpsc::Receiver<Input>, link: Link) {
         _ = self.status.change(Change::HandedOver);
-        self.calls.close_all();
         self.metrics.outstanding.set(0);
         let BackgroundLink { send, mut frames, task } = link.run_in_background();
         let (mut awaiting_reply, mut number, mut linked) =
--- a/crates/sender/src/lib.rs
+++ b/crates/sender/src/lib.rs
@@ -6,6 +6,7 @@
 #![warn(missing_docs)]
 #![deny(unsafe_code)]
 
+mod call_log;
 mod calls;
 mod check;
 mod class_table;
--- a/crates/sender/src/metrics.rs
+++ b/crates/sender/src/metrics.rs
@@ -57,6 +57,8 @@
     succeeded: BTreeMap<String, u64>,
     declined: BTreeMap<String, u64>,
     aborted: BTreeMap<String, u64>,
+    stray_answers: u64,
+    stray_answers_by_endpoint: BTreeMap<String, u64>,
     forwards: u64,
     outstanding: usize,
     discovered: usize,
@@ -102,11 +104,37 @@
     }
 }
 
+/// Maximum number of endpoints with a counter of stray answers. Those beyond are counted in the total alone.
+const MAX_STRAY_PEERS: usize = 1000;
+
+/// Counts of answers that were followed by something which belongs to no request.
+#[derive(Debug, Default)]
+pub struct StrayAnswers {
+    total: Cell<u64>,
+    by_endpoint: RefCell<BTreeMap<String, u64>>,
+}
+
+impl StrayAnswers {
+    /// Counts a stray answer of an endpoint. The endpoint's first one is logged.
+    pub fn count(&self, endpoint: &str) {
+        self.total.set(self.total.get() + 1);
+        let mut by_endpoint = self.by_endpoint.borrow_mut();
+        if let Some(count) = by_endpoint.get_mut(endpoint) {
+            *count += 1;
+        } else if by_endpoint.len() < MAX_STRAY_PEERS {
+            by_endpoint.insert(endpoint.to_string(), 1);
+            eprintln!("calls: {endpoint} wrote more than one answer to a request, the first one counts");
+        }
+    }
+}
+
 /// The current metrics. The driver counts messages by final outcome; the calls count the messages written to endpoints.
 #[derive(Debug, Default)]
 pub struct Metrics {
     /// For each message class, the counters of messages that succeeded, were declined or were aborted.
     ends_by_class: RefCell<BTreeMap<String, [u64; 3]>>,
+    /// Answers that were followed by something which belongs to no request, by endpoint.
+    pub stray_answers: StrayAnswers,
     /// Number of messages written completely to endpoints.
     pub forwards: Cell<u64>,
     /// Number of messages that were accepted and have not ended.
@@ -149,6 +177,8 @@
             succeeded: column(Column::Succeeded),
             declined: column(Column::Declined),
             aborted: column(Column::Aborted),
+            stray_answers: self.stray_answers.total.get(),
+            stray_answers_by_endpoint: self.stray_answers.by_endpoint.borrow().clone(),
             forwards: self.forwards.get(),
             outstanding: self.outstanding.get(),
             discovered,
--- a/crates/sender/src/notices.rs
+++ b/crates/sender/src/notices.rs
@@ -69,14 +69,14 @@
 /// A confirmation does not name the notices that it confirms. On a reused connection, a confirmation that the platform
 /// or the network delivers twice would confirm notices that the platform has not recorded.
 async fn post(addr: SocketAddr, body: Bytes) -> io::Result<()> {
-    let mut connection = Connection::open(addr).await?;
+    let connection = Connection::open(addr).await?;
     let request = Request::post("/reports")
         .header("host", addr.to_string())
         .header("connection", "close")
         .header("content-type", "application/x-ndjson")
         .body(Full::new(body))
         .map_err(io::Error::other)?;
-    let status = connection.send(request).await.map_err(io::Error::other)?.status();
+    let status = connection.send(request).await.map_err(io::Error::other)?.status;
     if status != 204 && status != 200 {
         return Err(io::Error::other(format!("response status {status}, expected 204")));
     }
--- a/crates/sender/src/placement/member_list.rs
+++ b/crates/sender/src/placement/member_list.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use embershore_placement::{AgentAnswer, EpochUpdate, ListError, Ownership};
 use heronroute::Micros;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::Request;
 use std::cell::RefCell;
 use std::error::Error;
@@ -126,18 +126,16 @@
 
 /// Requests from one control agent the changes since the epoch `since`, or the complete list if `since` is 0.
 async fn fetch(agent: SocketAddr, since: u64) -> Result<Bytes, Box<dyn Error>> {
-    let mut connection = Connection::open(agent).await?;
+    let connection = Connection::open(agent).await?;
     let request = Request::get(format!("/v1/members?since={since}"))
         .header("host", agent.to_string())
         .header("connection", "close")
         .body(Full::new(Bytes::new()))?;
-    let response = connection.send(request).await?;
-    if response.status() != 200 {
-        return Err(format!("response status {}, expected 200", response.status()).into());
+    let mut answer = connection.send(request).await?;
+    if answer.status != 200 {
+        return Err(format!("response status {}, expected 200", answer.status).into());
     }
-    let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES).collect();
-    let body = connection.drive(body).await.map_err(|e| -> Box<dyn Error> { e })?;
-    Ok(body.to_bytes())
+    answer.read_body(MAX_RESPONSE_BYTES).await.map_err(|e| -> Box<dyn Error> { e })
 }
 
 /// Puts the member list of a control agent's response in force.
--- a/crates/sender/tests/common/mod.rs
+++ b/crates/sender/tests/common/mod.rs
@@ -80,6 +80,8 @@
     Answer(u16, Vec<(&'static str, String)>, String),
     /// Writes the given bytes in place of an HTTP answer and keeps the connection open.
     Raw(String),
+    /// Writes the given bytes one by one, a millisecond apart, and keeps the connection open.
+    Trickle(String),
     /// Leaves the request unanswered and keeps the connection open.
     Silence,
     /// Closes the connection without answering the request.
@@ -115,6 +117,7 @@
             for (number, stream) in listener.incoming().enumerate() {
                 let (requests, closed, script) = (requests.clone(), closed.clone(), script.clone());
                 let mut stream = stream.unwrap();
+                _ = stream.set_nodelay(true);
                 thread::spawn(move || {
                     let mut reader = BufReader::new(stream.try_clone().unwrap());
                     while let Some(request) = read_request(&mut reader, number) {
@@ -137,6 +140,12 @@
                                     break;
                                 }
                             }
+                            StubResponse::Trickle(text) => {
+                                for byte in text.bytes() {
+                                    _ = stream.write_all(&[byte]);
+                                    thread::sleep(Duration::from_millis(1));
+                                }
+                            }
                             StubResponse::Silence => {}
                             StubResponse::Close => break,
                         }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -146,7 +146,7 @@
     pub peers: bool,
     /// The longest retry-after time that clients observe.
     pub max_retry_after: Micros,
-    /// Idle time after which a connection is closed.
+    /// Idle time after which a connection is closed; 0 if each call has a connection of its own.
     pub idle_close: Micros,
     /// Maximum number of concurrent calls on one connection.
     pub streams_per_conn: u32,
