Each forwarded message has a connection of its own

Cause: the same as for calls: a reply names no message, and connections to other members were used again. Fix: one message a connection; only the limits remain of the pool. The first line of what an owner writes is its reply.

--- a/crates/sender/src/placement/forward.rs
+++ b/crates/sender/src/placement/forward.rs
@@ -1,7 +1,7 @@
-//! Forwards messages to other owners over reused connections, by the decisions of `embershore_placement::Forwarding`.
+//! Forwards messages to other owners, each on a connection of its own, by the decisions of `embershore_placement::Forwarding`.
 
+use super::connection_limit::{ConnectionLimit, Reservation};
 use super::metrics::{ForwardedCounters, count};
-use super::pool::{Pool, Reservation};
 use super::{Forwarded, Placement, clock};
 use bytes::BytesMut;
 use embershore_placement::{ClientReply, ForwardOutcome, Forwarding, Step};
@@ -24,7 +24,7 @@
 /// Forwards messages to other owners.
 pub struct Forwarder {
     placement: Rc<Placement>,
-    pool: Rc<Pool>,
+    connections: Rc<ConnectionLimit>,
 }
 
 /// The deadlines of one attempt to forward a message to an owner.
@@ -36,10 +36,10 @@
 }
 
 impl Forwarder {
-    /// Creates a forwarder with an empty connection pool.
+    /// Creates a forwarder without connections.
     pub fn new(placement: Rc<Placement>) -> Rc<Self> {
-        let pool = Pool::new(placement.options.max_owner_connections);
-        Rc::new(Forwarder { placement, pool })
+        let connections = ConnectionLimit::new(placement.options.max_owner_connections);
+        Rc::new(Forwarder { placement, connections })
     }
 
     /// Starts forwarding a message that was read at `read_at`, and sends the outcome to `reply`.
@@ -100,15 +100,13 @@
         let started = timeout_at(deadlines.begin_by, self.begin(owner, put, read_at)).await;
         let Ok(Ok(mut exchange)) = started else { return ForwardOutcome::NotSent };
         let finished = timeout_at(deadlines.answer_by, exchange.finish()).await;
-        let Ok(Ok(reply)) = finished else { return ForwardOutcome::Unknown };
-        exchange.keep();
-        outcome_of(reply)
+        finished.ok().and_then(Result::ok).map_or(ForwardOutcome::Unknown, outcome_of)
     }
 
     /// Connects to an owner and writes the message's first bytes.
     /// If the returned future is dropped before it completes, nothing has been written to the owner.
     async fn begin(&self, owner: SocketAddr, put: &Put, read_at: Micros) -> io::Result<Exchange> {
-        let mut reservation = self.pool.reserve(owner).await;
+        let reservation = self.connections.reserve(owner).await;
         let mut stream = reservation.connect().await?;
         let passed = clock::now() - read_at;
         let command = encode_put(&Put { time_left: put.time_left - passed, ..put.clone() });
@@ -116,7 +114,7 @@
         if written == 0 {
             return Err(io::ErrorKind::WriteZero.into());
         }
-        Ok(Exchange { reservation, stream, command, written, answer: BytesMut::new() })
+        Ok(Exchange { _reservation: reservation, stream, command, written, answer: BytesMut::new() })
     }
 
     fn counters(&self) -> &ForwardedCounters {
@@ -135,7 +133,7 @@
 
 /// The exchange of a message with an owner, after at least one byte has been written.
 struct Exchange {
-    reservation: Reservation,
+    _reservation: Reservation,
     stream: TcpStream,
     command: Vec<u8>,
     written: usize,
@@ -146,18 +144,15 @@
     /// Writes the rest of the command to the owner and reads the owner's reply.
     async fn finish(&mut self) -> io::Result<Reply> {
         self.stream.write_all(&self.command[self.written..]).await?;
-        while !self.answer.ends_with(b"\r\n") {
+        let mut end = None;
+        while end.is_none() {
             if self.answer.len() >= MAX_REPLY_BYTES || self.stream.read_buf(&mut self.answer).await? == 0 {
                 return Err(io::ErrorKind::UnexpectedEof.into());
             }
+            end = self.answer.windows(2).position(|bytes| bytes == b"\r\n");
         }
-        let line = &self.answer[..self.answer.len() - 2];
-        decode_reply(line).ok_or_else(|| io::ErrorKind::InvalidData.into())
-    }
-
-    /// Returns the connection to the pool of connections to other members.
-    fn keep(self) {
-        self.reservation.put_back(self.stream);
+        // Whatever follows the first line belongs to no message.
+        decode_reply(&self.answer[..end.unwrap_or(0)]).ok_or_else(|| io::ErrorKind::InvalidData.into())
     }
 }
 
--- a/crates/sender/src/placement/mod.rs
+++ b/crates/sender/src/placement/mod.rs
@@ -6,12 +6,12 @@
 //! The module `forward` forwards messages. The rules of placement are in the crate `embershore_placement`.
 
 pub mod clock;
+mod connection_limit;
 mod endpoint_list;
 pub mod forward;
 pub mod member_list;
 pub mod metrics;
 mod pending;
-mod pool;
 pub mod reader;
 mod saved_state;
 
