The clock of deadlines and windows runs on over restarts, whatever the wall clock does

Callers saw, with a wall clock stepped while a sender was down: messages with time left given up at once (forward), ends never told and repeats beyond their window (backward). After another boot, or without that record, the wall clock counts as before, and the clock does not go back.

--- a/crates/sender/src/daemon.rs
+++ b/crates/sender/src/daemon.rs
@@ -283,6 +283,16 @@
     list
 }
 
+/// Continues the clock of the times in the journal, and records it for the next process.
+/// A journal without room or a folder that can't be written has no new record: the earlier one is as good.
+fn start_clock(journal: &mut journal::Journal) -> Clock {
+    let (clock, anchor) = Clock::start(journal.clock());
+    if let Err(e) = journal.record_clock_started(anchor) {
+        eprintln!("journal: recording the clock failed: {e}");
+    }
+    clock
+}
+
 /// Binds an address as soon as the predecessor has released it.
 async fn bind_when_free(address: SocketAddr) -> TcpListener {
     loop {
@@ -414,7 +424,7 @@
         _ = stop_status.change(Change::Stop);
         _ = stop.send(Input::Stop).await;
     });
-    let (journal, handover, listener) = match startup {
+    let (mut journal, handover, listener) = match startup {
         Startup::Standalone(journal, listener) => (*journal, None, listener),
         Startup::InheritedSocket(socket) => {
             // Start-up steps that need no journal come first, to shorten the time in which no process serves.
@@ -442,8 +452,9 @@
             )
         }
     };
+    let clock = start_clock(&mut journal);
     let driver = Driver::new(Parts {
-        clock: Clock::start(),
+        clock,
         seed,
         list_wait,
         settings,
--- a/crates/sender/src/journal.rs
+++ b/crates/sender/src/journal.rs
@@ -6,6 +6,7 @@
 //! A record's payload is a [`Record`] encoded by postcard.
 //! The next process of this sender replays the records and rebuilds an equal [`Journal`].
 
+use crate::clock::ClockAnchor;
 use bytes::Bytes;
 use embershore_protocol::notice::End;
 use heronroute::{ClassSettings, DedupScope, Effect, EndpointHealth, Micros, ReceiverHealth};
@@ -28,7 +29,7 @@
 /// Maximum number of draining or gone endpoints that the journal records.
 const MAX_NOT_READY: usize = 500;
 
-/// A message as the client submitted it. Times are wall-clock microseconds.
+/// A message as the client submitted it. Times are microseconds of the sender's clock.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Accepted {
     pub request_id: String,
@@ -196,6 +197,8 @@
     ReceiverHealth(Receiver, Option<ReceiverCondition>),
     /// From this record on, the journal records receivers' health: a receiver without a health record was healthy.
     ReceiversRecorded,
+    /// The clock of the times in the journal, at the start of a process.
+    ClockStarted(ClockAnchor),
 }
 
 /// A message in the journal, with its progress.
@@ -221,6 +224,8 @@
     /// Whether the journal records receivers' health, so that a receiver without a record was healthy.
     /// Journals of earlier versions do not record receivers' health.
     receivers_recorded: bool,
+    /// The clock of the times in the journal; None in a journal of an earlier version, whose times are the wall clock's.
+    clock: Option<ClockAnchor>,
     /// Endpoints that are draining or gone, each with the version of the endpoint list that says so.
     not_ready: BTreeMap<String, u64>,
     /// Class rules by number. Compaction drops rules that no message refers to.
@@ -273,6 +278,7 @@
             health: BTreeMap::new(),
             receivers: BTreeMap::new(),
             receivers_recorded: false,
+            clock: None,
             not_ready: BTreeMap::new(),
             rules: BTreeMap::new(),
             live_bytes,
@@ -333,6 +339,7 @@
             }
             Record::ReceiverHealth(receiver, None) => _ = self.receivers.remove(&receiver),
             Record::ReceiversRecorded => self.receivers_recorded = true,
+            Record::ClockStarted(anchor) => self.clock = Some(anchor),
             Record::EndpointListed(name, Some(index)) => _ = self.not_ready.insert(name, index),
             Record::EndpointListed(name, None) => _ = self.not_ready.remove(&name),
         }
@@ -353,7 +360,8 @@
 
     /// Estimates the compacted journal's size, with a flat allowance for attempts and health records, which are small.
     fn compacted_len(&self) -> u64 {
-        let names = self.health.len() + self.not_ready.len() + self.receivers.len() + 1;
+        // The records of the clock and of `ReceiversRecorded` stand once.
+        let names = self.health.len() + self.not_ready.len() + self.receivers.len() + 2;
         self.live_bytes + 160 * self.entries.len() as u64 + 96 * (names + self.rules.len()) as u64
     }
 
@@ -403,6 +411,9 @@
         }
         let path = self.path.with_extension("new");
         let mut bytes = Vec::with_capacity(self.compacted_len() as usize);
+        if let Some(anchor) = &self.clock {
+            bytes.extend_from_slice(&encode(&Record::ClockStarted(anchor.clone()))?);
+        }
         let used: BTreeSet<u32> = self.entries.values().filter_map(|e| e.rules).collect();
         for (number, rules) in self.rules.iter().filter(|(number, _)| used.contains(number)) {
             bytes.extend_from_slice(&encode(&Record::Rules(*number, rules.clone()))?);
@@ -489,6 +500,16 @@
         self.append(Record::AttemptStarted(ids, (endpoint.to_string(), at)), 0)
     }
 
+    /// Returns the clock of the times in the journal, at the start of the process that wrote last.
+    pub fn clock(&self) -> Option<&ClockAnchor> {
+        self.clock.as_ref()
+    }
+
+    /// Records the clock of this process, which the next process continues.
+    pub fn record_clock_started(&mut self, anchor: ClockAnchor) -> io::Result<()> {
+        self.append(Record::ClockStarted(anchor), 0)
+    }
+
     /// Records that a message's attempt in flight has ended.
     pub fn record_attempt_settled(&mut self, id: u64, may_have_run: bool) -> io::Result<()> {
         if self.entries.get(&id).is_none_or(|e| e.progress.in_flight.is_none()) {
--- a/crates/sender/tests/common/mod.rs
+++ b/crates/sender/tests/common/mod.rs
@@ -500,6 +500,8 @@
     pub folder: tempfile::TempDir,
     /// Limit on open file descriptors (`ulimit -n`) of the next sender process, if set.
     pub max_files: Option<usize>,
+    /// Further environment variables of the next sender process.
+    pub environment: Vec<(String, String)>,
     child: Option<Child>,
 }
 
@@ -535,7 +537,7 @@
         let mut config = config(addr, platform, 256);
         change(&mut config);
         std::fs::write(folder.path().join("config.json"), config.to_string()).unwrap();
-        let mut sender = Sender { addr, mgmt, folder, max_files: None, child: None };
+        let mut sender = Sender { addr, mgmt, folder, max_files: None, environment: Vec::new(), child: None };
         sender.spawn();
         sender
     }
@@ -596,6 +598,7 @@
         let child = command
             .env("LB_CONFIG", self.folder.path().join("config.json"))
             .env("LB_STATE", self.state())
+            .envs(self.environment.iter().cloned())
             .stderr(log)
             .spawn()
             .unwrap();
