A record that was written in part is cut off before the next one, however long that takes

Callers would see: messages that were taken on after a burst of failing writes and are gone after a kill. The same at a start, which no longer ends the process. A compaction removes what an earlier one left. An attempt whose outcome could not be written counts as the first that may have run, also after a further one has begun.

--- a/crates/sender/src/journal.rs
+++ b/crates/sender/src/journal.rs
@@ -234,6 +234,8 @@
     next_number: u64,
     /// Whether another process owns the journal, so that this process must not write to it.
     closed: bool,
+    /// Whether a record that was written in part may stand behind the last whole record.
+    torn: bool,
 }
 
 fn encode(record: &Record) -> io::Result<Vec<u8>> {
@@ -256,15 +258,20 @@
     Some((postcard::from_bytes(payload).ok()?, HEADER_BYTES + len))
 }
 
+fn remove_if_present(path: &Path) -> io::Result<()> {
+    match fs::remove_file(path) {
+        Err(e) if e.kind() != io::ErrorKind::NotFound => Err(e),
+        _ => Ok(()),
+    }
+}
+
 impl Journal {
     /// Opens the journal in `folder` and replays its records.
     /// A truncated last record, as a killed process may leave, is cut off.
     pub fn open(folder: &Path, limit: u64) -> io::Result<Journal> {
         let path = folder.join("journal");
-        match fs::remove_file(path.with_extension("new")) {
-            Err(e) if e.kind() != io::ErrorKind::NotFound => return Err(e),
-            _ => {}
-        }
+        // If this fails, the next compaction does it.
+        _ = remove_if_present(&path.with_extension("new"));
         let mut file = OpenOptions::new().read(true).append(true).create(true).open(&path)?;
         let mut bytes = Vec::new();
         file.read_to_end(&mut bytes)?;
@@ -284,6 +291,7 @@
             live_bytes,
             next_number,
             closed,
+            torn: false,
         };
         let mut at = 0;
         while let Some((record, size)) = decode(&bytes[at..]) {
@@ -295,9 +303,11 @@
                 "journal: discarding {} bytes of an incomplete or damaged record at offset {at}",
                 bytes.len() - at
             );
-            journal.file.set_len(at as u64)?;
+            journal.torn = true;
         }
         journal.len = at as u64;
+        // If cutting fails, the first write does it.
+        _ = journal.cut_torn_record();
         Ok(journal)
     }
 
@@ -312,8 +322,11 @@
             Record::AttemptStarted(ids, attempt) => {
                 for id in ids {
                     let Some(entry) = self.entries.get_mut(&id) else { continue };
-                    entry.progress.attempts += 1;
-                    entry.progress.in_flight = Some(attempt.clone());
+                    let progress = &mut entry.progress;
+                    progress.attempts += 1;
+                    // If the record of the earlier attempt's outcome could not be written, that attempt may have run.
+                    let unsettled = progress.in_flight.replace(attempt.clone());
+                    progress.may_have_run = progress.may_have_run.take().or(unsettled);
                 }
             }
             Record::AttemptSettled(id, may_have_run) => {
@@ -394,9 +407,11 @@
 
     fn write(&mut self, frame: Vec<u8>, record: Record) -> io::Result<()> {
         let size = frame.len() as u64;
+        self.cut_torn_record()?;
         if let Err(e) = self.file.write_all(&frame) {
-            // A partly written record would make all records after it unreadable.
-            self.file.set_len(self.len)?;
+            self.torn = true;
+            // If cutting fails as well, the next write does it first.
+            _ = self.cut_torn_record();
             return Err(e);
         }
         self.len += size;
@@ -404,6 +419,15 @@
         Ok(())
     }
 
+    /// Cuts off a partly written record, which would make all records after it unreadable.
+    fn cut_torn_record(&mut self) -> io::Result<()> {
+        if self.torn {
+            self.file.set_len(self.len)?;
+            self.torn = false;
+        }
+        Ok(())
+    }
+
     /// Writes the current state to a new journal file and renames it over the old file.
     fn compact(&mut self) -> io::Result<()> {
         if self.len + self.compacted_len() > self.limit {
@@ -441,13 +465,15 @@
         if self.len + bytes.len() as u64 > self.limit {
             return Ok(());
         }
+        // An earlier compaction that failed may have left its file.
+        remove_if_present(&path)?;
         let mut file = OpenOptions::new().append(true).create_new(true).open(&path)?;
         let written = file.write_all(&bytes).and_then(|()| fs::rename(&path, &self.path));
         if let Err(e) = written {
-            fs::remove_file(&path)?;
+            _ = fs::remove_file(&path);
             return Err(e);
         }
-        (self.file, self.len) = (file, bytes.len() as u64);
+        (self.file, self.len, self.torn) = (file, bytes.len() as u64, false);
         self.rules.retain(|number, _| used.contains(number));
         Ok(())
     }
