--- a/crates/sender/src/driver.rs
+++ b/crates/sender/src/driver.rs
@@ -1,11 +1,13 @@
 //! The driver passes events to the decision module (the dispatcher) in rounds, and executes the actions returned.
 //! The submodule `start` restores the state from a journal or a predecessor.
 //! The submodule `handover` replaces one process by another.
+//! The submodule `unrecorded_ends` keeps notices back until their ends are in the journal.
 //! The submodule `recovered` counts the messages that a restart recovered unattempted.
 
 mod handover;
 mod recovered;
 mod start;
+mod unrecorded_ends;
 
 pub use handover::HandoverContext;
 pub use start::InitialList;
@@ -36,6 +38,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
+use unrecorded_ends::UnrecordedEnd;
 
 /// Minimum time from SIGTERM until the process exits, even if the process has nothing to do.
 const MIN_STAY_US: Micros = 900_000;
@@ -123,6 +126,8 @@
     next_call: u64,
     timers: BinaryHeap<Reverse<(Micros, u64)>>,
     unconfirmed_notices: usize,
+    /// Ends that could not be written to the journal yet, bounded by the number of messages held.
+    unrecorded_ends: Vec<UnrecordedEnd>,
     /// When this process received SIGTERM; None before that.
     stopping: Option<Micros>,
 }
@@ -173,6 +178,7 @@
             next_call: 0,
             timers: BinaryHeap::new(),
             unconfirmed_notices: 0,
+            unrecorded_ends: Vec::new(),
             stopping: None,
         })
     }
@@ -191,6 +197,7 @@
             // The dispatcher runs at most one round per quantum.
             // Rounds also run without events, for conditions that depend on the clock alone.
             let wake = timer.min(pending_events).max(last_round + self.quantum);
+            let wake = wake.min(self.next_retry_of_ends(last_round));
             let wake = wake.min(last_round + MAX_ROUND_INTERVAL_US).min(self.next_exit_check(last_round));
             tokio::select! {
                 biased;
@@ -368,7 +375,7 @@
             self.record_first_call(id);
             if let Some(pending) = self.pending.get_mut(&id) {
                 pending.call = None;
-                let deadline = self.journal.borrow().get(id.0).map(|e| e.accepted.deadline);
+                let deadline = self.deadline(id);
                 if closes_message
                     && outcome == Outcome::Done
                     && deadline.is_some_and(|at| at < self.clock.now())
@@ -437,6 +444,7 @@
     /// Runs one round of the dispatcher with the queued events and executes the dispatcher's actions.
     fn round(&mut self) {
         let now = self.clock.now();
+        self.retry_unrecorded_ends(now);
         while let Some(Reverse((_, token))) = self.timers.peek().copied().filter(|t| t.0.0 <= now) {
             self.timers.pop();
             self.events.push(Event::Timer { token });
@@ -584,10 +592,9 @@
             return;
         };
         drop(journal);
-        self.write_journal(|j| j.record_message_ended(id.0, end));
         self.by_request.remove(&request_id);
-        self.unconfirmed_notices += 1;
-        _ = self.notices.send(Notice { id: id.0, request_id, end });
+        let deadline = self.deadline(id).unwrap_or(Micros::MIN);
+        self.record_end_and_notify(Notice { id: id.0, request_id, end }, deadline);
     }
 
     /// Reports to the dispatcher that an attempt was not sent.
--- a/crates/sender/src/journal.rs
+++ b/crates/sender/src/journal.rs
@@ -442,7 +442,9 @@
         for (number, rules) in self.rules.iter().filter(|(number, _)| used.contains(number)) {
             bytes.extend_from_slice(&encode(&Record::Rules(*number, rules.clone()))?);
         }
-        for (id, entry) in &self.entries {
+        // A message whose end `Closed` could not be written is left out: that is its end's record.
+        let is_open = |entry: &&Entry| entry.progress.end != Some(End::Closed);
+        for (id, entry) in self.entries.iter().filter(|(_, entry)| is_open(entry)) {
             let (accepted, progress) = (entry.accepted.clone(), entry.progress.clone());
             let frame = encode(&match entry.rules {
                 Some(rules) => Record::MessageUnderRules(rules, *id, accepted, progress),
@@ -475,6 +477,9 @@
         }
         (self.file, self.len, self.torn) = (file, bytes.len() as u64, false);
         self.rules.retain(|number, _| used.contains(number));
+        let closed: Vec<u64> =
+            self.entries.iter().filter(|(_, entry)| !is_open(entry)).map(|(id, _)| *id).collect();
+        closed.into_iter().for_each(|id| self.remove_entry(id));
         Ok(())
     }
 
@@ -546,8 +551,18 @@
 
     /// Records a message's final outcome. [`End::Closed`] removes the message.
     /// After any other final outcome the message stays in the journal until the platform has confirmed its notice.
+    /// After an error this process still knows the end, so that it calls the message no more; the file does not.
     pub fn record_message_ended(&mut self, id: u64, end: End) -> io::Result<()> {
-        if self.entries.contains_key(&id) { self.append(Record::Ended(id, end), 0) } else { Ok(()) }
+        if !self.entries.contains_key(&id) {
+            return Ok(());
+        }
+        let written = self.append(Record::Ended(id, end), 0);
+        if written.is_err()
+            && let Some(entry) = self.entries.get_mut(&id)
+        {
+            entry.progress.end = Some(end);
+        }
+        written
     }
 
     /// Records that the platform has confirmed the notices of the messages `ids`.
