A system call that a signal interrupts is made again at once

Callers saw: connections closed with no answer to a request that had been read, and messages that failed, where system calls on sockets fail with EINTR. Cause: the runtime reports an interrupted read, write or connect as an error of the connection, and the sender closed it. Fix: one wrapper of streams for clients, endpoints, the platform and other members retries what was interrupted. An accept that was interrupted, or whose client has gone, no longer keeps the next client waiting for 20 ms.

--- a/crates/sender/src/clients.rs
+++ b/crates/sender/src/clients.rs
@@ -5,12 +5,14 @@
 use crate::placement::metrics::count;
 use crate::placement::{Placement, Routing, clock};
 use crate::status::{Phase, ProcessStatus, wait_until_closing};
+use crate::uninterrupted::Uninterrupted;
 use bytes::{Bytes, BytesMut};
 use embershore_placement::DEFAULT_WAIT_MS;
 use embershore_protocol::resp::{MAX_BODY_BYTES, MAX_COMMAND_BYTES, Put, Reply, decode_command, decode_put};
 use heronroute::Micros;
 use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::BTreeMap;
+use std::io::ErrorKind;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -240,7 +242,7 @@
 
 /// A client's connection and its unprocessed input.
 struct Client {
-    socket: TcpStream,
+    socket: Uninterrupted<TcpStream>,
     buf: BytesMut,
     /// When the first byte of the command at the start of `buf` was read.
     command_begun: Instant,
@@ -340,7 +342,7 @@
             () = until => {}
         }
         if !between {
-            _ = self.socket.try_write(b"-ERR the command was not finished in time\r\n");
+            _ = self.socket.0.try_write(b"-ERR the command was not finished in time\r\n");
         }
         self.close_gracefully().await?;
         Ok(false)
@@ -469,6 +471,8 @@
         };
         let mut socket = match accepted {
             Ok((socket, _)) => socket,
+            // The next connection may be ready already.
+            Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => continue,
             Err(e) => {
                 eprintln!("clients: accepting a connection failed, retrying in 20 ms: {e}");
                 tokio::time::sleep(Duration::from_millis(20)).await;
@@ -493,7 +497,7 @@
         let (buf, driver, status) = (BytesMut::new(), driver.clone(), status.clone());
         let origin = origin.clone();
         let client = Client {
-            socket,
+            socket: Uninterrupted(socket),
             buf,
             command_begun: now,
             ended: false,
--- a/crates/sender/src/connection.rs
+++ b/crates/sender/src/connection.rs
@@ -1,6 +1,7 @@
 //! An HTTP/1.1 client connection to an endpoint, discovery, the platform or a control agent.
 //! The connection records the traffic on its socket.
 
+use crate::uninterrupted::Uninterrupted;
 use bytes::{Bytes, BytesMut};
 use embershore_protocol::call::parse_status;
 use http_body_util::{BodyExt, Full, Limited};
@@ -74,7 +75,7 @@
 /// The flush shows that the request's last byte has been written: hyper flushes once its buffer is empty.
 /// A request's head and body enter hyper's buffer together.
 /// The socket drops 1xx responses, since hyper would treat a 101 as the end of HTTP on the connection.
-struct Socket<S = TcpStream> {
+struct Socket<S = Uninterrupted<TcpStream>> {
     stream: S,
     traffic: Rc<Traffic>,
     /// Bytes read from the socket and not given to hyper yet: an incomplete status line or an incomplete 1xx response.
@@ -193,6 +194,16 @@
     }
 }
 
+/// Connects to `addr`, again where a signal has interrupted the attempt.
+async fn connect(addr: SocketAddr) -> io::Result<TcpStream> {
+    loop {
+        match TcpStream::connect(addr).await {
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+            result => return result,
+        }
+    }
+}
+
 /// A new HTTP/1.1 connection, which carries one request.
 ///
 /// HTTP/1.1 does not number its answers: an answer belongs to a request only because it is the next one on the
@@ -211,10 +222,10 @@
 impl Connection {
     /// Connects to the peer at `addr`.
     pub async fn open(addr: SocketAddr) -> io::Result<Self> {
-        let stream = TcpStream::connect(addr).await?;
+        let stream = connect(addr).await?;
         stream.set_nodelay(true)?;
         let traffic = Rc::new(Traffic::default());
-        let socket = TokioIo::new(Socket::new(stream, traffic.clone()));
+        let socket = TokioIo::new(Socket::new(Uninterrupted(stream), traffic.clone()));
         let handshake = http1::Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(socket);
         let (requests, connection) = handshake.await.map_err(io::Error::other)?;
         Ok(Connection { requests, driver: Driver { connection, ended: false }, traffic, addr })
--- a/crates/sender/src/lib.rs
+++ b/crates/sender/src/lib.rs
@@ -34,3 +34,4 @@
 mod rehearse;
 mod reload_check;
 mod status;
+mod uninterrupted;
--- a/crates/sender/src/placement/forward.rs
+++ b/crates/sender/src/placement/forward.rs
@@ -3,6 +3,7 @@
 use super::connection_limit::{ConnectionLimit, Reservation};
 use super::metrics::{ForwardedCounters, count};
 use super::{Forwarded, Placement, clock};
+use crate::uninterrupted::Uninterrupted;
 use bytes::BytesMut;
 use embershore_placement::{ClientReply, ForwardOutcome, Forwarding, Step};
 use embershore_protocol::resp::{Put, Reply};
@@ -107,7 +108,7 @@
     /// If the returned future is dropped before it completes, nothing has been written to the owner.
     async fn begin(&self, owner: SocketAddr, put: &Put, read_at: Micros) -> io::Result<Exchange> {
         let reservation = self.connections.reserve(owner).await;
-        let mut stream = reservation.connect().await?;
+        let mut stream = Uninterrupted(reservation.connect().await?);
         let passed = clock::now() - read_at;
         let command = encode_put(&Put { time_left: put.time_left - passed, ..put.clone() });
         let written = stream.write(&command).await?;
@@ -134,7 +135,7 @@
 /// The exchange of a message with an owner, after at least one byte has been written.
 struct Exchange {
     _reservation: Reservation,
-    stream: TcpStream,
+    stream: Uninterrupted<TcpStream>,
     command: Vec<u8>,
     written: usize,
     answer: BytesMut,
