--- a/crates/sender/src/clock.rs
+++ b/crates/sender/src/clock.rs
@@ -40,12 +40,12 @@
 }
 
 impl Clock {
-    /// Starts the clock of a process, and returns it with the anchor for the next process.
+    /// Starts the clock of a process. Returns also the anchor to be recorded, unless `earlier` still holds.
     ///
     /// Within one boot of the machine the clock continues where the earlier process, whose anchor `earlier` is, had it.
     /// After another boot nothing but the wall clock tells the time that has passed, and the clock does not go back.
     /// A wall clock that was stepped meanwhile is logged.
-    pub fn start(earlier: Option<&ClockAnchor>) -> (Self, ClockAnchor) {
+    pub fn start(earlier: Option<&ClockAnchor>) -> (Self, Option<ClockAnchor>) {
         let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as Micros;
         let boot_id = std::fs::read_to_string(BOOT_ID_FILE).unwrap_or_default().trim().to_string();
         let start = Instant::now();
@@ -58,7 +58,8 @@
                 stepped / 1_000_000
             );
         }
-        (Clock { at_start: anchor.time, start }, anchor)
+        let continued = earlier.is_some_and(|earlier| earlier.continued_at(&anchor).is_some());
+        (Clock { at_start: anchor.time, start }, (!continued).then_some(anchor))
     }
 
     /// Returns the time in microseconds.
--- a/crates/sender/src/daemon.rs
+++ b/crates/sender/src/daemon.rs
@@ -284,10 +284,10 @@
 }
 
 /// Continues the clock of the times in the journal, and records it for the next process.
-/// A journal without room or a folder that can't be written has no new record: the earlier one is as good.
+/// If the folder can't be written, the next process starts at the wall clock's time.
 fn start_clock(journal: &mut journal::Journal) -> Clock {
     let (clock, anchor) = Clock::start(journal.clock());
-    if let Err(e) = journal.record_clock_started(anchor) {
+    if let Some(Err(e)) = anchor.map(|anchor| journal.record_clock_started(anchor)) {
         eprintln!("journal: recording the clock failed: {e}");
     }
     clock
