A second connection is tried beside one that has not come up after 0.15 s

Change: the first of two connections to come up carries the call; nothing is written on the other one.

--- a/crates/sender/src/calls.rs
+++ b/crates/sender/src/calls.rs
@@ -22,6 +22,9 @@
 const MAX_RESPONSE_BYTES: usize = 64 * 1024;
 /// Minimum age of a connection before its request is written, which leaves time for an immediate reset.
 const SETTLE_TIME: Duration = Duration::from_millis(2);
+/// Time after which a second connection is tried beside one that has not come up.
+/// On a path that loses packets, the second one often comes up long before the first.
+const SECOND_CONNECTION_DELAY: Duration = Duration::from_millis(150);
 /// Maximum number of concurrent probes. Each probe uses a descriptor in addition to the calls' descriptors.
 pub const MAX_PROBES: usize = 8;
 
@@ -297,10 +300,30 @@
     }
 }
 
+/// Connects to an endpoint. Tries a second connection after [`SECOND_CONNECTION_DELAY`], and returns the first to come up.
+async fn connect(addr: SocketAddr) -> std::io::Result<Connection> {
+    let mut first = std::pin::pin!(Connection::open(addr));
+    if let Ok(opened) = tokio::time::timeout(SECOND_CONNECTION_DELAY, &mut first).await {
+        return opened;
+    }
+    let mut second = std::pin::pin!(Connection::open(addr));
+    tokio::select! {
+        biased;
+        opened = &mut first => match opened {
+            Ok(connection) => Ok(connection),
+            Err(_) => second.await,
+        },
+        opened = &mut second => match opened {
+            Ok(connection) => Ok(connection),
+            Err(_) => first.await,
+        },
+    }
+}
+
 /// Opens a connection and waits [`SETTLE_TIME`] for an immediate reset.
 /// Returns None if the connection was reset: nothing had been written, so the message has certainly had no effect.
 async fn open_settled(addr: SocketAddr) -> Option<Connection> {
-    let connection = Connection::open(addr).await.ok()?;
+    let connection = connect(addr).await.ok()?;
     tokio::time::sleep(SETTLE_TIME).await;
     connection.if_usable()
 }
@@ -346,4 +369,21 @@
         let (reused, taken) = tokio::join!(open_settled(addr), listener.accept());
         assert!(taken.is_ok() && reused.is_some());
     }
+
+    #[tokio::test]
+    async fn a_second_connection_is_tried_beside_one_that_does_not_come_up() {
+        let socket = tokio::net::TcpSocket::new_v4().unwrap();
+        socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+        let listener = socket.listen(0).unwrap();
+        let addr = listener.local_addr().unwrap();
+        // A full queue drops the first attempt's packet, which the system sends again after a second.
+        let full = tokio::net::TcpStream::connect(addr).await.unwrap();
+        let begun = Instant::now();
+        let (opened, ()) = tokio::join!(connect(addr), async {
+            tokio::time::sleep(SECOND_CONNECTION_DELAY / 2).await;
+            drop(listener.accept().await.unwrap());
+        });
+        assert!(opened.is_ok() && begun.elapsed() < Duration::from_millis(700), "{:?}", begun.elapsed());
+        drop(full);
+    }
 }
