The module prefers endpoints used lately, also where no connection is used again

Change: whether connections are used again is a setting of its own (reuses_connections); the preference for endpoints that were used within idle_close holds as before, and no failed call is blamed on a kept connection.

--- a/crates/protocol/src/settings.rs
+++ b/crates/protocol/src/settings.rs
@@ -216,6 +216,7 @@
             peers: self.limits.peers,
             max_retry_after: self.limits.max_retry_after_us,
             idle_close: self.limits.idle_close_us.unwrap_or(defaults.idle_close),
+            reuses_connections: defaults.reuses_connections,
             streams_per_conn: self.limits.streams_per_conn.unwrap_or(defaults.streams_per_conn),
             quantum: self.quantum_us,
             drain_grace: self.rules.drain_grace_us,
--- a/crates/sender/src/daemon.rs
+++ b/crates/sender/src/daemon.rs
@@ -345,8 +345,8 @@
         _ => None,
     };
 
-    // Each call has a connection of its own, so the dispatcher must not count on connections that stay open.
-    settings.idle_close = 0;
+    // Each call has a connection of its own.
+    settings.reuses_connections = false;
     let endpoints = Rc::new(RefCell::new(endpoint_table::EndpointTable::new(names.clone())));
     let metrics = Rc::new(Metrics::default());
     let shared = clients::Shared::default();
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -146,8 +146,10 @@
     pub peers: bool,
     /// The longest retry-after time that clients observe.
     pub max_retry_after: Micros,
-    /// Idle time after which a connection is closed; 0 if each call has a connection of its own.
+    /// Idle time after which a connection is closed. Calls prefer endpoints that were used within this time.
     pub idle_close: Micros,
+    /// Whether a connection carries further calls after its first one.
+    pub reuses_connections: bool,
     /// Maximum number of concurrent calls on one connection.
     pub streams_per_conn: u32,
     /// Minimum time between two rounds of the dispatcher.
@@ -198,6 +200,7 @@
             peers: false,
             max_retry_after: 0,
             idle_close: 5_000_000,
+            reuses_connections: true,
             streams_per_conn: 1,
             quantum: 0,
             drain_grace: 0,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1467,8 +1467,8 @@
         if now - endpoint.last_used >= self.settings.idle_close && endpoint.in_flight == 0 {
             endpoint.connections = 0;
         }
-        let keeps_connections = self.settings.idle_close > 0;
-        let reuses_connection = keeps_connections && !is_trial && endpoint.in_flight < endpoint.connections;
+        let may_reuse = self.settings.reuses_connections && !is_trial;
+        let reuses_connection = may_reuse && endpoint.in_flight < endpoint.connections;
         let connection_idle = if reuses_connection { now - endpoint.last_used } else { 0 };
         let call = Call {
             endpoint: endpoint_id,
