--- a/crates/sender/src/calls.rs
+++ b/crates/sender/src/calls.rs
@@ -113,13 +113,17 @@
         if self.may_be_written() { Outcome::ConnectFailed } else { Outcome::Unreached }
     }
 
+    /// Returns the status in the response's status line, if that line has been read.
+    fn status(&self) -> Option<u16> {
+        self.traffic.borrow().as_ref()?.status.get()
+    }
+
     /// Summarises a response that was not read to its end.
     /// Status 200 confirms the delivery of a single message even if the rest of the response does not arrive.
     /// An incomplete response with another status proves nothing, but a wait in the response's head applies.
     fn incomplete(&self, spec: &CallSpec, outcome: Outcome) -> ResponseSummary {
         let head = self.head.take().unwrap_or_else(|| ResponseSummary::without_response(outcome));
-        let status = self.traffic.borrow().as_ref().and_then(|traffic| traffic.status.get());
-        if status == Some(200) && !spec.batch {
+        if self.status() == Some(200) && !spec.batch {
             return ResponseSummary {
                 report: head.report,
                 wait: head.wait,
@@ -202,9 +206,9 @@
             MessageOutcome { id: item.id, attempt: item.attempt, outcome, closes_message }
         });
         let outcomes: Vec<MessageOutcome> = outcomes.collect();
-        let status = progress.traffic.borrow().as_ref().and_then(|traffic| traffic.status.get());
-        self.log.ended(spec, status, &outcomes, start.elapsed());
-        let elapsed = start.elapsed().as_micros() as Micros;
+        let elapsed = start.elapsed();
+        self.log.ended(spec, progress.status(), &outcomes, elapsed);
+        let elapsed = elapsed.as_micros() as Micros;
         let ResponseSummary { wait, report, .. } = response;
         CallEnd { endpoint: spec.endpoint, outcomes, elapsed, wait, report }
     }
--- a/crates/sender/src/connection.rs
+++ b/crates/sender/src/connection.rs
@@ -51,12 +51,6 @@
         self.on_written.set(Some(Box::new(on_written)));
     }
 
-    fn begin_request(&self) {
-        self.awaiting_response.set(true);
-        self.response_began.set(None);
-        self.status.set(None);
-    }
-
     /// Waits until a response that has begun exceeds [`COMPLETION_TIMEOUT`]. To be polled while the response is read.
     pub async fn response_overdue(&self) {
         loop {
@@ -245,7 +239,7 @@
     /// Sends the connection's only request and waits for the answer's head.
     pub async fn send(self, request: Request<Full<Bytes>>) -> hyper::Result<Answer> {
         let Connection { mut requests, mut driver, traffic, .. } = self;
-        traffic.begin_request();
+        traffic.awaiting_response.set(true);
         let response = requests.send_request(request);
         let mut response = pin!(response);
         let response = std::future::poll_fn(|cx| {
--- a/crates/sender/src/discovery.rs
+++ b/crates/sender/src/discovery.rs
@@ -216,7 +216,7 @@
             .map_err(io::Error::other)?;
         let status = response.status;
         if status != 200 {
-            let busy = status >= 500 || status == 429;
+            let busy = (500..600).contains(&status) || status == 429;
             let kind = if busy { io::ErrorKind::ResourceBusy } else { io::ErrorKind::Other };
             return Err(io::Error::new(kind, format!("{path}: response status {status}, expected 200")));
         }
