--- a/review/rig/src/bin/upgrade.rs
+++ b/review/rig/src/bin/upgrade.rs
@@ -1,8 +1,7 @@
 //! A payout whose last allowed attempt is out while the sender's process is replaced.
 //!
-//! Three partners get four payouts a second each, for 3 s. All shut just before the last one, and each turns five calls
-//! away (503).
-//! Then each takes calls again and is slow: it pays out and answers 4 s later, 24 times slower than the usual 165 ms.
+//! Three partners get four payouts a second each, for 3 s. Just before the last one all are above their limit, and each
+//! turns five calls away (429 with a wait, 503 without). Then each takes calls again and is slow: it pays out and answers 4 s later, 24 times slower than the usual 165 ms.
 //! While such calls are out, the process is replaced.
 
 use review_rig::*;
@@ -14,12 +13,14 @@
 
 const PARTNERS: i64 = 3;
 const TURNED_AWAY: u32 = 5;
+/// The wait that is told with a refusal: to the end of the span in which the partner counts calls, 2 s at most.
+const WAIT_MS: u32 = 600;
 const USUAL: Duration = Duration::from_millis(165);
 const SLOW: Duration = Duration::from_millis(4000);
 /// How long partners are slow; the page allows 8.7 to 24 s.
 const SLOW_FOR: Duration = Duration::from_millis(14_000);
-const SHUT_AFTER: Duration = Duration::from_millis(2900);
-/// The evening's payouts end just after the partners have shut: one payout to each partner finds it shut.
+const FULL_AFTER: Duration = Duration::from_millis(2900);
+/// The evening's payouts end just after the partners' limits are used up: one payout to each partner is turned away.
 const TRAFFIC_FOR: Duration = Duration::from_millis(3100);
 const RUN_FOR: Duration = Duration::from_millis(40_000);
 const DEADLINE_MS: u128 = 28_000;
@@ -32,8 +33,8 @@
     payouts: HashMap<u64, (Instant, i64, u32)>,
     /// The payouts' effects.
     effects: HashMap<u64, Vec<f64>>,
-    /// When the partners shut; None before.
-    shut: Option<Instant>,
+    /// When the partners' limits were used up; None before.
+    full: Option<Instant>,
     /// The calls that each partner has turned away since then, and when it opened again.
     turned_away: HashMap<i64, u32>,
     opened: HashMap<i64, Instant>,
@@ -83,13 +84,17 @@
                 return Some(Answer::status(400));
             };
             let mut work = USUAL;
-            if now.shut.is_some() {
+            if now.full.is_some() {
                 let refused = now.turned_away.entry(partner).or_default();
                 if *refused < TURNED_AWAY {
                     *refused += 1;
-                    record.line(format!(
-                        "partner {partner}: call {refused} turned away (503): {payouts:?} {ids:?}"
-                    ));
+                    record
+                        .line(format!("partner {partner}: call {refused} turned away: {payouts:?} {ids:?}"));
+                    // Three of the five refusals tell how long to wait; others take the room that there is then.
+                    if *refused % 2 == 1 {
+                        let wait = vec![("X-Retry-In-Ms", WAIT_MS.to_string())];
+                        return Some(Answer { headers: wait, ..Answer::status(429) });
+                    }
                     return Some(Answer::status(503));
                 }
                 let opened = *now.opened.entry(partner).or_insert_with(Instant::now);
@@ -168,13 +173,13 @@
     while begun.elapsed() < RUN_FOR {
         std::thread::sleep(ms(5));
         let mut now = state.lock().unwrap();
-        if now.shut.is_none() && begun.elapsed() >= SHUT_AFTER {
-            now.shut = Some(Instant::now());
-            run.record.line("the partners shut");
+        if now.full.is_none() && begun.elapsed() >= FULL_AFTER {
+            now.full = Some(Instant::now());
+            run.record.line("the partners are above their limit");
         }
         let out = now.slow_call_out;
         drop(now);
-        // The process is replaced as soon as a partner that had shut has taken a call and not answered it yet.
+        // The process is replaced as soon as a partner that turned calls away has taken a call and not answered it yet.
         if run.trouble && out && new.is_none() {
             let address = free_address();
             door = Some(address);
--- a/review/rig/src/lib.rs
+++ b/review/rig/src/lib.rs
@@ -441,8 +441,10 @@
 impl SenderPlan {
     pub fn config(&self) -> String {
         let SenderPlan { name, listen, discovery, known, memory_mb, sockets, settings } = self;
+        // The sender's random numbers: sixteen hex digits.
+        let seed = std::env::var("SEED").unwrap_or("8c1f30d27a5be964".into());
         format!(
-            "{{\"name\":\"{name}\",\"listen\":\"{listen}\",\"discovery\":\"{discovery}\",\"seed\":\"8c1f30d27a5be964\",\
+            "{{\"name\":\"{name}\",\"listen\":\"{listen}\",\"discovery\":\"{discovery}\",\"seed\":\"{seed}\",\
              \"limits\":{{\"cores\":1.0,\"memory_mb\":{memory_mb},\"sockets\":{sockets},\"disk_mb\":3}},\
              \"known\":{known},\"settings\":{settings}}}"
         )
