--- a/review/rig/src/lib.rs
+++ b/review/rig/src/lib.rs
@@ -272,6 +272,17 @@
     record: Record,
     endpoints: Vec<String>,
     on_notice: impl Fn(Notice) + Send + Sync + 'static,
+) -> (SocketAddr, String) {
+    platform_with_outages(record, endpoints, || false, on_notice)
+}
+
+/// The platform. While `is_down` holds, discovery is down: its agent takes connections and says nothing.
+/// Notices are answered all the same.
+pub fn platform_with_outages(
+    record: Record,
+    endpoints: Vec<String>,
+    is_down: impl Fn() -> bool + Send + Sync + 'static,
+    on_notice: impl Fn(Notice) + Send + Sync + 'static,
 ) -> (SocketAddr, String) {
     let list = format!("{{\"index\":7,\"snapshot\":true,\"endpoints\":[{}]}}", endpoints.join(","));
     let known = list.clone();
@@ -293,6 +304,9 @@
             }
             return Some(Answer::status(204));
         }
+        while is_down() {
+            std::thread::sleep(ms(20));
+        }
         if request.path == "/v1/servers" {
             return Some(Answer { body: list.clone(), ..Answer::status(200) });
         }
@@ -305,11 +319,13 @@
                 text.push_str(&chunk(&format!("{list}\n")));
             }
             loop {
-                if stream.write_all(text.as_bytes()).is_err() {
-                    return None;
+                if !is_down() {
+                    if stream.write_all(text.as_bytes()).is_err() {
+                        return None;
+                    }
+                    text = chunk("\n");
                 }
                 std::thread::sleep(ms(2000));
-                text = chunk("\n");
             }
         }
         Some(Answer::status(404))
