--- a/review/rig/src/lib.rs
+++ b/review/rig/src/lib.rs
@@ -16,7 +16,6 @@
     fn kill(pid: i32, signal: i32) -> i32;
     fn dup2(old: i32, new: i32) -> i32;
     fn fcntl(fd: i32, command: i32, argument: i32) -> i32;
-    fn recv(fd: i32, buffer: *mut u8, length: usize, flags: i32) -> isize;
 }
 
 pub const SIGHUP: i32 = 1;
@@ -28,7 +27,7 @@
 pub const BROKEN: i32 = 1;
 pub const COULD_NOT_RUN: i32 = 2;
 
-/// Milliseconds from 1 to `n`.
+/// A span of `n` milliseconds.
 pub fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
 }
@@ -141,14 +140,6 @@
     Some(Request { method, path, headers, body })
 }
 
-/// Whether the peer has neither closed nor reset the connection.
-pub fn is_open(stream: &TcpStream) -> bool {
-    let mut byte = 0u8;
-    // SAFETY: one byte is written at most. MSG_PEEK and MSG_DONTWAIT leave the connection as it is.
-    let n = unsafe { recv(stream.as_raw_fd(), &mut byte, 1, 0x2 | 0x40) };
-    n > 0 || (n < 0 && std::io::Error::last_os_error().kind() == std::io::ErrorKind::WouldBlock)
-}
-
 /// An answer to a request.
 pub struct Answer {
     pub status: u16,
