--- a/review/rig/src/lib.rs
+++ b/review/rig/src/lib.rs
@@ -16,6 +16,7 @@
     fn kill(pid: i32, signal: i32) -> i32;
     fn dup2(old: i32, new: i32) -> i32;
     fn fcntl(fd: i32, command: i32, argument: i32) -> i32;
+    fn prctl(option: i32, argument: u64) -> i32;
 }
 
 pub const SIGHUP: i32 = 1;
@@ -527,6 +528,14 @@
         if let Some(door) = door {
             command.env("LB_MGMT", door.to_string());
         }
+        // SAFETY: prctl may be called between fork and exec. PR_SET_PDEATHSIG: however the case ends, this process ends
+        // with it.
+        unsafe {
+            command.pre_exec(|| match prctl(1, SIGKILL as u64) {
+                0 => Ok(()),
+                _ => Err(std::io::Error::last_os_error()),
+            });
+        }
         if let Some(socket) = socket {
             command.env("LB_SOCKET_FD", "5");
             let fd = socket.as_raw_fd();
