The log of calls tells what a replacement takes over, and each end that a notice reports

The log of calls ended with the old process: it could not tell whether the new one gave the payout up for its time, for room, for an outcome that the old process reported wrongly, or for its attempts. Change: with LB_CALL_LOG=1 a process logs each message that it takes over (attempts made, the call still in flight), each outcome that the previous process reports, and each end that a notice reports (attempts, call in flight, time left).

--- a/crates/sender/src/calls.rs
+++ b/crates/sender/src/calls.rs
@@ -156,6 +156,11 @@
         Calls { endpoints, metrics, log, waits, probes, connect_timeout }
     }
 
+    /// Returns the log of calls.
+    pub fn log(&self) -> CallLog {
+        self.log
+    }
+
     /// Whether a call may begin now. A drain or a wait may have been reported since the dispatcher decided on the call.
     fn may_begin(&self, endpoint: EndpointId, lane: Lane) -> bool {
         let ready = self.endpoints.borrow().get(endpoint).is_some_and(|e| e.ready);
--- a/crates/sender/src/driver.rs
+++ b/crates/sender/src/driver.rs
@@ -12,6 +12,7 @@
 pub use handover::HandoverContext;
 pub use start::InitialList;
 
+use crate::call_log::EndedMessage;
 use crate::calls::{CallItem, CallSpec, Calls, Lane};
 use crate::class_table::ClassTable;
 use crate::clients::Shared;
@@ -581,6 +582,7 @@
     /// Ends an undelivered message and queues its notice.
     /// Does nothing if the message was already answered with a refusal.
     fn end_undelivered(&mut self, id: MsgId, end: End) {
+        let (attempts, call) = self.pending.get(&id).map_or((0, None), |p| (p.attempts, p.call));
         if !self.remove_pending(id) {
             return;
         }
@@ -594,6 +596,9 @@
         drop(journal);
         self.by_request.remove(&request_id);
         let deadline = self.deadline(id).unwrap_or(Micros::MIN);
+        let time_left = deadline.saturating_sub(self.clock.now());
+        let request = request_id.as_str();
+        self.calls.log().message_ended(&EndedMessage { request_id: request, end, attempts, call, time_left });
         self.record_end_and_notify(Notice { id: id.0, request_id, end }, deadline);
     }
 
--- a/crates/sender/src/driver/handover.rs
+++ b/crates/sender/src/driver/handover.rs
@@ -85,6 +85,8 @@
                 if let Some(lane) = listed.or_else(|| Some(Lane::Whole(DestId(dest()?)))) {
                     self.calls.record_wait(lane, wait);
                 }
+                let request_id = |id: MsgId| Some(journal.get(id.0)?.accepted.request_id.as_str());
+                self.calls.log().reported(call, &outcomes, request_id);
                 drop((endpoints, journal));
                 self.handle_call_end(
                     call,
--- a/crates/sender/src/driver/start.rs
+++ b/crates/sender/src/driver/start.rs
@@ -162,6 +162,9 @@
             if progress.first_possible_run().is_none() {
                 self.recovered.add(MsgId(id), message.deadline, progress.attempts, now);
             }
+            if self.predecessor.is_some() {
+                self.calls.log().inherited(&request_id, attempts, call);
+            }
             self.by_request.insert(request_id, MsgId(id));
             self.class_table.add_message(row);
             self.pending.insert(MsgId(id), PendingMessage { attempts, call, row });
