A call in flight of an ended message holds back its order key in the next process as well

Cause, as callers would see it: two messages of one order key could reach a receiver out of order after a replacement. A message that has ended while its call is in flight (its client has left, or its batch has more time than it) holds back its key until the call's outcome. The next process got the call without the key, and sent the key's next message at once. Change: the state that is handed over says for such a key that it settles only when the call can't be in flight any more: order_settle after the latest deadline of the call's messages, which no call outlasts. Evidence: the_call_of_an_ended_message_holds_back_its_order_key and ..._for_its_time_alone in tests/handed.rs failed before ("the next message overtakes a call in flight"); the ten tests of the file pass with it. Result: with 2 s left to the ended message and an order_settle of 1 s the next message goes between 2.9 s and 3.1 s.

--- a/src/handover.rs
+++ b/src/handover.rs
@@ -87,7 +87,7 @@
             dests: self.destinations.iter().map(|(id, d)| (*id, d.arrival_rate, d.traffic)).collect(),
             lanes: self.lanes.iter().map(|(key, lane)| (*key, lane.clone())).collect(),
             endpoints: self.endpoints.iter().map(|(id, endpoint)| (*id, endpoint.clone())).collect(),
-            keys: self.order_keys.iter().map(|(name, key)| (name.clone(), key.settle_until)).collect(),
+            keys: self.order_keys.iter().map(|(name, key)| (name.clone(), self.settled_at(key))).collect(),
         };
         let calls = self.calls.iter().map(|(number, call)| {
             let in_call = |(id, message): (&MsgId, &Message)| {
@@ -100,6 +100,23 @@
         (state, calls.collect())
     }
 
+    /// Returns the time before which the next dispatcher must not send the key's next message.
+    /// The next dispatcher does not know the keys of ended messages whose calls are in flight.
+    /// Such a call lasts until the latest deadline of its messages at most, and the key settles after it.
+    fn settled_at(&self, key: &OrderKey) -> Micros {
+        let messages = key.queue.iter().filter_map(|(_, id)| self.messages.get(id));
+        let calls = messages.filter(|message| message.closed).flat_map(|message| &message.in_flight);
+        let call_ends = calls.filter_map(|attempt| self.latest_end(attempt.call));
+        let settled = call_ends.map(|at| at + self.settings.order_settle);
+        settled.fold(key.settle_until, Micros::max)
+    }
+
+    /// Returns the latest deadline of the messages in a call.
+    fn latest_end(&self, call: u64) -> Option<Micros> {
+        let in_call = |message: &&Message| message.in_flight.iter().any(|attempt| attempt.call == call);
+        self.messages.values().filter(in_call).map(|message| message.deadline).max()
+    }
+
     /// Applies another dispatcher's state to the destinations, lanes and endpoints in the endpoint list.
     /// Also adds endpoints that are missing from the endpoint list and still have calls in flight.
     /// The calls in flight themselves are added afterwards by [`Dispatcher::inherit_calls`].
--- a/tests/handed.rs
+++ b/tests/handed.rs
@@ -201,3 +201,47 @@
     next.finish(&sent[0], Outcome::Done);
     assert_eq!(next.in_flight.iter().map(|attempt| attempt.id).collect::<Vec<_>>(), [2]);
 }
+
+/// Returns a new message of the ordered class to destination 1, with 2 s until its deadline.
+fn short_ordered(id: u64, key: &str) -> Event {
+    let mut event = ordered(id, 1, key);
+    if let Event::Message { time_left, .. } = &mut event {
+        *time_left = 2 * S;
+    }
+    event
+}
+
+// Guards against the next message of an order key that overtakes a message that has ended while its call is in flight.
+#[test]
+fn the_call_of_an_ended_message_holds_back_its_order_key() {
+    let entries = || vec![entry(1, 1, 1)];
+    let mut first = TestSender::new(settings(), entries());
+    // One call carries message 1, whose client leaves, and message 2, which has more time.
+    let sent = first.round(&[short_ordered(1, "k"), message(2, UNSAFE, 1)]);
+    assert_eq!(sent.len(), 2);
+    first.round(&[Event::MessageAbandoned { id: MsgId(1) }, ordered(3, 1, "k")]);
+    assert!(first.in_flight.iter().all(|attempt| attempt.id != 3));
+    let restored = vec![restored(2, UNSAFE, 1, None), restored(3, ORDERED, 0, Some("k"))];
+    let (mut next, again) = successor_with(settings(), &first, entries(), restored);
+    // The call may last until the deadline of message 2, 20 s after its start.
+    assert!(
+        again.is_empty() && next.advance(14 * S).is_empty(),
+        "the next message overtakes a call in flight"
+    );
+}
+
+// Guards against an order key that is held back although the call of its ended message can't be in flight any more.
+#[test]
+fn the_call_of_an_ended_message_holds_back_its_order_key_for_its_time_alone() {
+    let entries = || vec![entry(1, 1, 0)];
+    let mut first = TestSender::new(settings(), entries());
+    assert_eq!(first.round(&[short_ordered(1, "k")]).len(), 1);
+    first.round(&[Event::MessageAbandoned { id: MsgId(1) }]);
+    let restored = vec![restored(2, ORDERED, 0, Some("k")), restored(3, ORDERED, 0, Some("other"))];
+    let (mut next, again) = successor_with(settings(), &first, entries(), restored);
+    assert_eq!(again.iter().map(|attempt| attempt.id).collect::<Vec<_>>(), [3]);
+    next.finish(&again[0], Outcome::Done);
+    // The call may last for 2 s; as its outcome is not known, the key then settles for 1 s.
+    assert!(next.advance(2900 * MS).is_empty(), "the next message overtakes a call in flight");
+    assert_eq!(next.advance(200 * MS).iter().map(|attempt| attempt.id).collect::<Vec<_>>(), [2]);
+}
