--- a/crates/sender/src/interleavings.rs
+++ b/crates/sender/src/interleavings.rs
@@ -788,3 +788,12 @@
         world.play(&operations);
     }
 }
+
+// Guards against a recovered message that ends early without a call because its attempts were skipped unbegun.
+#[test]
+fn an_attempt_that_never_begins_leaves_a_recovered_message_its_attempts() {
+    let put = Operation::Put { class: 0, dest: 0, time_left: 3 * S };
+    let kill = Operation::Kill { after: 2, torn: 0, away: 0 };
+    let operations = [put, kill, Operation::Pass(QUANTUM), Operation::Replace, Operation::Pass(QUANTUM)];
+    World::new(false, 1).play(&operations);
+}
