The driver's restore in short steps; the interleavings restore messages by the driver's own code

Cause: what makes a restored message's event stood twice, in Driver::restore (a function of 110 lines) and in the model of the interleavings, so that the model could not notice a mistake in the driver's. Change: restore is five steps (the predecessor's state, health, messages, calls, interrupted attempts), and restored_message, which has no I/O, makes the event for both. Nothing is decided otherwise; events keep their order.

--- a/crates/sender/src/driver.rs
+++ b/crates/sender/src/driver.rs
@@ -6,7 +6,7 @@
 
 mod handover;
 mod recovered;
-mod start;
+pub(crate) mod start;
 mod unrecorded_ends;
 
 pub use handover::HandoverContext;
--- a/crates/sender/src/driver/start.rs
+++ b/crates/sender/src/driver/start.rs
@@ -3,7 +3,7 @@
 use super::{Driver, PendingMessage, SET_IN_ROUND};
 use crate::endpoint_table::EndpointTable;
 use crate::input::{Input, Notice};
-use crate::journal::{Journal, Receiver};
+use crate::journal::{Entry, Journal, Receiver};
 use crate::metrics::MessageEnd;
 use crate::status::Change;
 use embershore_handover::State;
@@ -73,56 +73,70 @@
     /// Passes to the dispatcher the state that an earlier process left in the journal or the predecessor handed over.
     pub(super) fn restore(&mut self) {
         let handed_over = self.handover.as_mut().and_then(|handover| handover.predecessor.take());
-        let mut restored = Vec::new();
-        let mut inherited_calls = Vec::new();
-        let (mut attempts, mut call_of_message) = (HashMap::new(), HashMap::new());
-        if let Some((state, link)) = handed_over {
-            let State {
-                next_message,
-                next_call,
-                lame_duck,
-                names,
-                inherited: mut dispatcher_state,
-                in_flight: calls,
-                ..
-            } = *state;
-            self.journal.borrow_mut().reserve_numbers_below(next_message);
-            self.next_call = next_call;
-            if lame_duck {
-                _ = self.status.change(Change::LameDuck(true));
-            }
-            let names: HashMap<EndpointId, String> = names.into_iter().collect();
-            let endpoints = self.endpoints.borrow();
-            // An endpoint with calls in flight that has left the endpoint list gets a number that no other will have.
-            let unlisted: BTreeSet<EndpointId> = calls.iter().map(InFlightCall::endpoint).collect();
-            let number = |id: EndpointId| {
-                let known = names.get(&id).and_then(|name| endpoints.number(name));
-                known.or_else(|| {
-                    let at = unlisted.iter().position(|other| *other == id)?;
-                    Some(EndpointId(u32::MAX - 1 - u32::try_from(at).ok()?))
-                })
-            };
-            dispatcher_state.renumber(number);
-            inherited_calls = calls;
-            inherited_calls
-                .iter_mut()
-                .for_each(|call| call.renumber(number(call.endpoint()).unwrap_or_default()));
-            drop(endpoints);
-            self.events.push(Event::StateInherited(Box::new(dispatcher_state)));
-            attempts.extend(state.attempts);
-            call_of_message.extend(state.calls);
-            self.predecessor = Some(self.follow_predecessor(link, &inherited_calls, &call_of_message));
+        let calls = handed_over.map_or_else(PredecessorCalls::default, |(state, link)| {
+            let calls = self.take_over_state(*state);
+            self.predecessor = Some(self.follow_predecessor(link, &calls.in_flight, &calls.call_of_message));
+            calls
+        });
+        if self.predecessor.is_none() {
+            self.restore_health();
         }
-        let (journal, endpoints, now) = (self.journal.borrow(), self.endpoints.borrow(), self.clock.now());
-        for (name, health) in journal.health().filter(|_| self.predecessor.is_none()) {
+        let messages = self.restore_messages(&calls);
+        self.metrics.register_classes(self.class_table.names());
+        self.events.push(Event::ClassesChanged(self.class_table.classes()));
+        self.events.extend(messages);
+        if !calls.in_flight.is_empty() {
+            self.events.push(Event::CallsInherited(calls.in_flight));
+        }
+        self.settle_interrupted_attempts();
+    }
+
+    /// Takes over the predecessor's state, and returns what the predecessor knows of its calls.
+    fn take_over_state(&mut self, state: State) -> PredecessorCalls {
+        let State { next_message, next_call, lame_duck, names, attempts, calls, .. } = state;
+        let (mut inherited, mut in_flight) = (state.inherited, state.in_flight);
+        self.journal.borrow_mut().reserve_numbers_below(next_message);
+        self.next_call = next_call;
+        if lame_duck {
+            _ = self.status.change(Change::LameDuck(true));
+        }
+        let names: HashMap<EndpointId, String> = names.into_iter().collect();
+        let endpoints = self.endpoints.borrow();
+        // An endpoint with calls in flight that has left the endpoint list gets a number that no other will have.
+        let unlisted: BTreeSet<EndpointId> = in_flight.iter().map(InFlightCall::endpoint).collect();
+        let number = |id: EndpointId| {
+            let known = names.get(&id).and_then(|name| endpoints.number(name));
+            known.or_else(|| {
+                let at = unlisted.iter().position(|other| *other == id)?;
+                Some(EndpointId(u32::MAX - 1 - u32::try_from(at).ok()?))
+            })
+        };
+        inherited.renumber(number);
+        for call in &mut in_flight {
+            call.renumber(number(call.endpoint()).unwrap_or_default());
+        }
+        drop(endpoints);
+        self.events.push(Event::StateInherited(Box::new(inherited)));
+        let (attempts, call_of_message) = (attempts.into_iter().collect(), calls.into_iter().collect());
+        PredecessorCalls { in_flight, attempts, call_of_message }
+    }
+
+    /// Restores the health of endpoints and receivers from the journal.
+    fn restore_health(&mut self) {
+        let (journal, endpoints) = (self.journal.borrow(), self.endpoints.borrow());
+        for (name, health) in journal.health() {
             if let Some(endpoint) = endpoints.number(name) {
                 self.events.push(Event::EndpointHealthRestored { endpoint, health });
             }
         }
-        if self.predecessor.is_none() {
-            self.events.extend(restored_receivers(&journal, &endpoints));
-        }
-        for (id, entry) in journal.entries() {
+        self.events.extend(restored_receivers(&journal, &endpoints));
+    }
+
+    /// Restores the journal's messages: queues the notices of those that have ended, and returns the events of the others.
+    fn restore_messages(&mut self, calls: &PredecessorCalls) -> Vec<Event> {
+        let (journal, now) = (self.journal.clone(), self.clock.now());
+        let mut restored = Vec::new();
+        for (id, entry) in journal.borrow().entries() {
             let (message, progress) = (&entry.accepted, &entry.progress);
             let request_id = message.request_id.clone();
             if let Some(end) = progress.end {
@@ -132,53 +146,36 @@
                 _ = self.notices.send(Notice { id, request_id, end });
                 continue;
             }
-            // An endpoint that has left the endpoint list has no number; an unused number stands for that endpoint.
-            let number = |name: &str| endpoints.number(name).unwrap_or(EndpointId(u32::MAX));
             // The rules under which the message was accepted still apply, even if the configuration has changed.
-            let rules = journal.rules(entry);
+            let rules = journal.borrow().rules(entry);
             let row =
                 self.class_table.row_for_restored(&message.class, rules.as_ref(), now).unwrap_or(usize::MAX);
-            let attempts = attempts.get(&MsgId(id)).copied().unwrap_or(progress.attempts);
-            let call = call_of_message.get(&MsgId(id)).copied();
-            restored.push(Event::MessageRestored {
-                id: MsgId(id),
-                class: row,
-                key: Some(message.order_key.clone()),
-                dest: DestId(message.dest),
-                time_left: SET_IN_ROUND,
-                attempts,
-                // The journal records only attempts that have begun.
-                // If an attempt in flight has not begun, its outcome is still to be received from the predecessor.
-                unreached: attempts
-                    .saturating_sub(progress.attempts)
-                    .saturating_sub(u32::from(call.is_some() && progress.in_flight.is_none())),
-                // The predecessor's attempt that is still in flight may be answered with success.
-                may_have_run: match call {
-                    Some(_) => progress.may_have_run.as_ref(),
-                    None => progress.first_possible_run(),
-                }
-                .map(|(name, at)| (number(name), *at)),
-            });
+            let id = MsgId(id);
+            let attempts = calls.attempts.get(&id).copied().unwrap_or(progress.attempts);
+            let call = calls.call_of_message.get(&id).copied();
+            let endpoints = self.endpoints.borrow();
+            // An endpoint that has left the endpoint list has no number; an unused number stands for that endpoint.
+            let number = |name: &str| endpoints.number(name).unwrap_or(EndpointId(u32::MAX));
+            restored.push(restored_message(id, entry, row, attempts, call.is_some(), number));
+            drop(endpoints);
             if progress.first_possible_run().is_none() {
-                self.recovered.add(MsgId(id), message.deadline, progress.attempts, now);
+                self.recovered.add(id, message.deadline, progress.attempts, now);
             }
             if self.predecessor.is_some() {
                 self.calls.log().inherited(&request_id, attempts, call);
             }
-            self.by_request.insert(request_id, MsgId(id));
+            self.by_request.insert(request_id, id);
             self.class_table.add_message(row);
-            self.pending.insert(MsgId(id), PendingMessage { attempts, call, row });
-            self.retain_destination(MsgId(id), message.dest);
-        }
-        drop(journal);
-        self.metrics.register_classes(self.class_table.names());
-        self.events.push(Event::ClassesChanged(self.class_table.classes()));
-        self.events.append(&mut restored);
-        if !inherited_calls.is_empty() {
-            self.events.push(Event::CallsInherited(inherited_calls));
+            self.pending.insert(id, PendingMessage { attempts, call, row });
+            self.retain_destination(id, message.dest);
         }
-        let (mut journal, pending) = (self.journal.borrow_mut(), self.pending.iter());
-        for (id, _) in pending.filter(|(_, pending)| pending.call.is_none()) {
+        restored
+    }
+
+    /// Records that the attempts which no running process makes any more have ended, and may have taken effect.
+    fn settle_interrupted_attempts(&self) {
+        let mut journal = self.journal.borrow_mut();
+        for (id, _) in self.pending.iter().filter(|(_, pending)| pending.call.is_none()) {
             if let Err(e) = journal.record_attempt_settled(id.0, true) {
                 eprintln!("journal: recording the end of an earlier run's attempt failed: {e}");
             }
@@ -186,6 +183,44 @@
     }
 }
 
+/// What the predecessor knows of its messages' attempts and its calls in flight; empty without a predecessor.
+#[derive(Default)]
+struct PredecessorCalls {
+    in_flight: Vec<InFlightCall>,
+    /// The number of attempts of each message, including those that failed before their first byte was sent.
+    attempts: HashMap<MsgId, u32>,
+    /// The call in flight that carries each message.
+    call_of_message: HashMap<MsgId, u64>,
+}
+
+/// Returns the event that restores a message of the journal.
+/// `attempts` counts the attempts that the earlier process made, of which the journal records those that have begun.
+/// `has_call` is whether a running predecessor has a call in flight that carries the message.
+pub(crate) fn restored_message(
+    id: MsgId,
+    entry: &Entry,
+    class: usize,
+    attempts: u32,
+    has_call: bool,
+    number: impl Fn(&str) -> EndpointId,
+) -> Event {
+    let (message, progress) = (&entry.accepted, &entry.progress);
+    // If an attempt in flight has not begun, its outcome is still to be received from the predecessor.
+    let not_begun = u32::from(has_call && progress.in_flight.is_none());
+    // The predecessor's attempt that is still in flight may be answered with success.
+    let possible_run = if has_call { progress.may_have_run.as_ref() } else { progress.first_possible_run() };
+    Event::MessageRestored {
+        id,
+        class,
+        key: Some(message.order_key.clone()),
+        dest: DestId(message.dest),
+        time_left: SET_IN_ROUND,
+        attempts,
+        unreached: attempts.saturating_sub(progress.attempts).saturating_sub(not_begun),
+        may_have_run: possible_run.map(|(name, at)| (number(name), *at)),
+    }
+}
+
 /// Returns the receivers' health as the earlier process recorded it in the journal.
 /// A journal of an earlier version does not record receivers' health.
 /// Receivers that have messages in a journal without health records may be down or warming up, as may
--- a/crates/sender/src/interleavings.rs
+++ b/crates/sender/src/interleavings.rs
@@ -6,7 +6,8 @@
 //! The model, [`World`], simulates the environment and records which calls took effect, which no sender can know.
 //! The model executes the dispatcher's actions in the driver's order; a kill may come between any two steps.
 
-use crate::journal::{Accepted, Attempt, Entry, Journal, Receiver};
+use crate::driver::start::restored_message;
+use crate::journal::{Accepted, Journal, Receiver};
 use embershore_protocol::notice::End;
 use heronroute::{
     Action, ClassSettings, DestId, Dispatcher, Effect, EndpointEntry, EndpointId, Event, KindSettings,
@@ -602,18 +603,13 @@
         process.events.push(Event::StateInherited(Box::new(state)));
         let mut without_call = Vec::new();
         for (id, entry) in process.journal.entries() {
-            let progress = &entry.progress;
-            if progress.end.is_some() {
+            if entry.progress.end.is_some() {
                 continue;
             }
-            let attempts = process.attempts[&id];
-            let has_call = process.has_call(id);
-            let unbegun = u32::from(has_call && progress.in_flight.is_none());
-            let unreached = attempts - progress.attempts - unbegun;
-            let possible_run =
-                if has_call { progress.may_have_run.as_ref() } else { progress.first_possible_run() };
+            let (attempts, has_call) = (process.attempts[&id], process.has_call(id));
             let class = self.truth[&id].class;
-            process.events.push(restored(id, class, entry, attempts, unreached, possible_run));
+            let event = restored_message(MsgId(id), entry, class, attempts, has_call, endpoint_number);
+            process.events.push(event);
             if !has_call {
                 without_call.push(id);
             }
@@ -663,8 +659,9 @@
             if progress.first_possible_run().is_none() && progress.attempts < self.max_attempts {
                 truth.recovered = Some(now);
             }
-            let possible_run = progress.first_possible_run();
-            process.events.push(restored(id, truth.class, entry, progress.attempts, 0, possible_run));
+            let event =
+                restored_message(MsgId(id), entry, truth.class, progress.attempts, false, endpoint_number);
+            process.events.push(event);
             open.push((id, progress.attempts));
         }
         for (id, attempts) in open {
@@ -684,27 +681,6 @@
     }
 }
 
-/// Returns the event that restores a message of the journal.
-fn restored(
-    id: u64,
-    class: usize,
-    entry: &Entry,
-    attempts: u32,
-    unreached: u32,
-    possible_run: Option<&Attempt>,
-) -> Event {
-    Event::MessageRestored {
-        id: MsgId(id),
-        class,
-        key: None,
-        dest: DestId(entry.accepted.dest),
-        time_left: 0,
-        attempts,
-        unreached,
-        may_have_run: possible_run.map(|(name, at)| (endpoint_number(name), *at)),
-    }
-}
-
 fn entry(endpoint: u32, status: Status) -> EndpointEntry {
     let (dest, kind) = (DestId(destination_of(endpoint)), destination_of(endpoint) as usize);
     EndpointEntry { endpoint: EndpointId(endpoint), dest, status, kind, zone: 0, weight: None }
