Tests of replacements: the management ports lie on a loopback address of their own

Cause: a_replacement_that_dies_during_its_start_leaves_the_owner_serving failed once today, in a run of the whole file, and no output was kept. A test took a free port of 127.0.0.1, closed it and told it to the sender; any other socket of the machine could be given the port in between. The sender then ends at its start, and the test waits 20 s for it to be ready. Change: own_loopback, which Sender had inside, gives SharedSocket an address that no one else is given ports on. No check, bound or time-out is touched.

--- a/crates/sender/tests/common/mod.rs
+++ b/crates/sender/tests/common/mod.rs
@@ -507,11 +507,19 @@
 
 const EXECUTABLE: &str = env!("CARGO_BIN_EXE_embershore");
 
+/// Returns a loopback address that no other sender of the test run uses.
+/// On it no other process is given a port that a sender is about to listen on.
+pub fn own_loopback() -> Ipv4Addr {
+    static SENDERS: AtomicU8 = AtomicU8::new(1);
+    let [.., high, low] = std::process::id().to_be_bytes();
+    Ipv4Addr::new(127, high | 0x80, low, SENDERS.fetch_add(1, Ordering::Relaxed))
+}
+
 /// Reserves an address whose port stays the same over a sender's restarts.
 /// The socket is bound but does not listen.
 /// A child process that another test is starting may briefly hold a copy of the socket.
 /// A listening copy would accept the sender's connections and keep the sender from listening.
-fn reserve_address(own: Ipv4Addr) -> SocketAddr {
+pub fn reserve_address(own: Ipv4Addr) -> SocketAddr {
     let port = tokio::net::TcpSocket::new_v4().unwrap();
     port.set_reuseaddr(true).unwrap();
     port.bind((own, 0).into()).unwrap();
@@ -527,10 +535,7 @@
     /// Starts a sender with the default configuration as edited by `change`.
     pub fn with(platform: &Platform, change: impl Fn(&mut Value)) -> Self {
         // The sender's port must be the same after a restart.
-        // On a loopback address that only one sender uses, no other process is given that port.
-        static SENDERS: AtomicU8 = AtomicU8::new(1);
-        let [.., high, low] = std::process::id().to_be_bytes();
-        let own = Ipv4Addr::new(127, high | 0x80, low, SENDERS.fetch_add(1, Ordering::Relaxed));
+        let own = own_loopback();
         let (addr, mgmt) = (reserve_address(own), reserve_address(own));
         let folder = tempfile::tempdir().unwrap();
         std::fs::create_dir(folder.path().join("state")).unwrap();
--- a/crates/sender/tests/handover.rs
+++ b/crates/sender/tests/handover.rs
@@ -21,6 +21,8 @@
     listener: std::net::TcpListener,
     addr: std::net::SocketAddr,
     folder: tempfile::TempDir,
+    /// Loopback address of the processes' management interfaces.
+    own: std::net::Ipv4Addr,
     /// Running sender processes, with the addresses of their management interfaces.
     running: Vec<(Child, std::net::SocketAddr)>,
 }
@@ -42,14 +44,12 @@
         config["settings"]["Limits"]["MaxOpen"] = 400.into();
         change(&mut config);
         std::fs::write(folder.path().join("config.json"), config.to_string()).unwrap();
-        SharedSocket { listener, addr, folder, running: Vec::new() }
+        SharedSocket { listener, addr, folder, own: own_loopback(), running: Vec::new() }
     }
 
     /// Starts a process next to the running processes and returns the number of the new process.
     fn start(&mut self) -> usize {
-        let spare = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-        let mgmt = spare.local_addr().unwrap();
-        drop(spare);
+        let mgmt = reserve_address(self.own);
         // The duplicate of the listening socket stays open across exec; the listener itself does not.
         let inherit = rustix::io::dup(&self.listener).unwrap();
         let child = Command::new(env!("CARGO_BIN_EXE_embershore"))
