A restored message is checked at the round's end only if it may get no further attempt

Need: since each message that a start restores enters a check, though only those without a further attempt can end by it. That is work at the start that goes by what is held; callers see nothing of it. Change: the check is entered under the condition that it looks for. What is decided stays as it was.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -322,7 +322,9 @@
         if let Some(key) = may_still_run.and_then(|k| self.order_keys.get_mut(k)) {
             key.settle_until = self.now + self.settings.order_settle;
         }
-        self.schedule.insert((self.now, Check::Message(id)));
+        if !self.may_retry(id) {
+            self.schedule.insert((self.now, Check::Message(id)));
+        }
     }
 
     /// Restores an endpoint's health from before a restart.
