--- a/crates/sender/src/driver.rs
+++ b/crates/sender/src/driver.rs
@@ -4,7 +4,7 @@
 //! The submodule `unrecorded_ends` keeps notices back until their ends are in the journal.
 //! The submodule `recovered` counts the messages that a restart recovered unattempted.
 
-mod handover;
+pub(crate) mod handover;
 mod recovered;
 pub(crate) mod start;
 mod unrecorded_ends;
--- a/crates/sender/src/driver/handover.rs
+++ b/crates/sender/src/driver/handover.rs
@@ -15,7 +15,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 /// Maximum number of rounds before the handover that process the queued events; a round may queue new events.
-const MAX_FINAL_ROUNDS: usize = 8;
+pub(crate) const MAX_FINAL_ROUNDS: usize = 8;
 /// Time for sending the last outcomes to the successor before exiting.
 const FINAL_SEND_TIMEOUT: Duration = Duration::from_millis(200);
 /// Interval at which a replaced sender checks whether it has anything left to do.
--- a/crates/sender/src/interleavings.rs
+++ b/crates/sender/src/interleavings.rs
@@ -6,6 +6,7 @@
 //! The model, [`World`], simulates the environment and records which calls took effect, which no sender can know.
 //! The model executes the dispatcher's actions in the driver's order; a kill may come between any two steps.
 
+use crate::driver::handover::MAX_FINAL_ROUNDS;
 use crate::driver::start::restored_message;
 use crate::journal::{Accepted, Journal, Receiver};
 use embershore_protocol::notice::End;
@@ -25,8 +26,6 @@
 const ATTEMPTS: u32 = 4;
 const ENDPOINTS: u32 = 5;
 const DISK: u64 = 200_000;
-/// Maximum number of rounds before a replacement that process the queued events.
-const MAX_FINAL_ROUNDS: usize = 8;
 
 /// The effects of the message classes 0 to 2.
 const EFFECTS: [Effect; 3] = [Effect::Safe, Effect::Keyed, Effect::Unsafe];
@@ -219,8 +218,7 @@
         let listed: BTreeMap<u32, Status> = (1..=ENDPOINTS).map(|e| (e, Status::Up)).collect();
         let journal = Journal::open(folder.path(), DISK).unwrap();
         let now = S;
-        let mut process = Process::start(journal, now, &listed, max_attempts);
-        process.restore_health();
+        let process = Process::start(journal, now, &listed, max_attempts);
         let (truth, next, kill) = (BTreeMap::new(), 0, (0, 0));
         World {
             folder,
