A keyed message that may have run fails instead of being returned

The sender tried it six times in the first second of an outage, each answered 500, and returned it. The client submitted it again within the idempotency window, as it may. The sender, or any other one, takes it for a message that was never sent, holds it until the receiver returns and calls after the window has passed: the receiver has forgotten the key.

Cause: `Dispatcher::may_refuse` returned a keyed message that may have run within 45% of its window. A refusal says that submitting again is harmless, and nobody who gets the new submission knows when the key was first used.

Change: what may have run is never refused, keyed or unsafe; it is sent within its window, then fails. As a failure is final, its attempts are spread: the first repeat at once, the last one not before 0.8 of the window, each earlier one in half that time. The decisions about repeats and refusals move into a module of their own. A memory of keys in one sender would not do, since the client may go to any sender.

--- a/crates/sender/src/interleavings.rs
+++ b/crates/sender/src/interleavings.rs
@@ -551,7 +551,7 @@
             "message {id} ends {} ms early with a call in flight: {truth:?}",
             (truth.deadline - self.now) / MS
         );
-        if matches!(end, End::Returned { .. }) && EFFECTS[truth.class] == Effect::Unsafe {
+        if matches!(end, End::Returned { .. }) && EFFECTS[truth.class] != Effect::Safe {
             assert!(truth.possible_runs.is_empty(), "message {id} is returned and may have run: {truth:?}");
         }
         if self.process.journal.get(id).is_none() {
--- /dev/null
+++ b/crates/sender/tests/resubmitted.rs
@@ -0,0 +1,162 @@
+//! Keyed messages that their clients submit again, to the same sender or to another one.
+//! Guards against a message that takes effect a second time after its receiver has forgotten the idempotency key.
+
+mod common;
+use common::*;
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// Deadline of the class `push` in the tests' settings.
+const DEADLINE: Duration = Duration::from_secs(24);
+const OUTAGE: Duration = Duration::from_secs(6);
+const RUN_AFTER_OUTAGE: Duration = Duration::from_secs(6);
+/// Time from the begin of the outage until the first sender is killed.
+const KILL_AFTER: Duration = Duration::from_millis(800);
+const MESSAGES: usize = 30;
+const MESSAGE_GAP: Duration = Duration::from_millis(100);
+/// Time after which clients submit a returned message again.
+const RETRY_WAIT: Duration = Duration::from_millis(100);
+const MAX_RETRIES: usize = 3;
+
+/// A receiver that remembers idempotency keys for a time window and counts each key's effects.
+#[derive(Default)]
+struct Effects {
+    remembered: BTreeMap<String, Instant>,
+    counts: BTreeMap<String, usize>,
+}
+
+impl Effects {
+    fn record(&mut self, key: &str, window: Duration) {
+        if self.remembered.get(key).is_some_and(|at| at.elapsed() < window) {
+            return;
+        }
+        self.remembered.insert(key.to_string(), Instant::now());
+        *self.counts.entry(key.to_string()).or_default() += 1;
+    }
+
+    fn repeated(&self) -> Vec<&String> {
+        self.counts.iter().filter(|(_, count)| **count > 1).map(|(key, _)| key).collect()
+    }
+}
+
+/// Starts an endpoint that runs every message, and answers 500 until the given time and 200 afterwards.
+fn endpoint_that_fails_until(recovers_at: Instant, window: Duration) -> (Endpoint, Arc<Mutex<Effects>>) {
+    let effects: Arc<Mutex<Effects>> = Arc::default();
+    let recorded = effects.clone();
+    let endpoint = Endpoint::new(move |request| {
+        if let Some(key) = request.header("idempotency-key") {
+            recorded.lock().unwrap().record(key, window);
+        }
+        let fails = request.line.starts_with("POST") && Instant::now() < recovers_at;
+        status(if fails { 500 } else { 200 })
+    });
+    (endpoint, effects)
+}
+
+/// A message that a client submits, possibly several times.
+struct Message {
+    number: usize,
+    first_submitted: Instant,
+    retries: usize,
+}
+
+impl Message {
+    fn new(number: usize) -> Message {
+        Message { number, first_submitted: Instant::now(), retries: 0 }
+    }
+
+    fn request_id(&self) -> String {
+        format!("m{}-{}", self.number, self.retries)
+    }
+
+    fn key(&self) -> String {
+        format!("key{}", self.number)
+    }
+
+    /// Submits the message to a sender and returns the sender's reply.
+    fn submit(&self, sender: &Sender) -> Option<String> {
+        let time_left = DEADLINE.saturating_sub(self.first_submitted.elapsed()).as_millis();
+        sender.try_put(&self.request_id(), &format!("c=push,d={time_left},dest=3,k={}", self.key()))
+    }
+}
+
+/// Runs two senders and a receiver that runs messages but answers with errors for a time.
+/// Each returned message is submitted again to the other sender, within the idempotency window.
+/// With `kill`, the first sender is killed and started again during the outage.
+fn submit_returned_messages_to_the_other_sender(window: Duration, kill: bool) {
+    let recovers_at = Instant::now() + OUTAGE;
+    let (endpoint, effects) = endpoint_that_fails_until(recovers_at, window);
+    let platform = Platform::new(vec![listed_endpoint("s-1", endpoint.addr, "one", 3, "Ready")]);
+    let window_us = window.as_micros() as u64;
+    let start = || Sender::with(&platform, |c| c["settings"]["Profiles"][0]["WindowUs"] = window_us.into());
+    let mut senders = [start(), start()];
+    senders.iter().for_each(|sender| sender.client().ping());
+    let mut open: Vec<Message> = Vec::new();
+    let mut due: VecDeque<(Instant, Message)> = VecDeque::new();
+    let (mut next, mut next_at) = (0, Instant::now());
+    let kill_at = Instant::now() + KILL_AFTER;
+    let mut killed = !kill;
+    while Instant::now() < recovers_at + RUN_AFTER_OUTAGE {
+        if next < MESSAGES && next_at <= Instant::now() {
+            due.push_back((next_at, Message::new(next)));
+            (next, next_at) = (next + 1, next_at + MESSAGE_GAP);
+        }
+        if !killed && kill_at <= Instant::now() {
+            senders[0].kill();
+            senders[0].spawn();
+            killed = true;
+        }
+        while due.front().is_some_and(|(at, _)| *at <= Instant::now()) {
+            let (_, message) = due.pop_front().unwrap();
+            let may_come_again = message.retries == 0 || message.first_submitted.elapsed() < window;
+            if may_come_again && message.submit(&senders[message.retries % 2]).as_deref() == Some("+OK") {
+                open.push(message);
+            }
+        }
+        for mut message in std::mem::take(&mut open) {
+            match platform.notice_state(&message.request_id()).as_deref() {
+                Some("returned") if message.retries < MAX_RETRIES => {
+                    message.retries += 1;
+                    due.push_back((Instant::now() + RETRY_WAIT, message));
+                }
+                Some(_) => {}
+                None => open.push(message),
+            }
+        }
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    let effects = effects.lock().unwrap();
+    assert!(!effects.counts.is_empty(), "no message took effect");
+    assert_eq!(effects.repeated(), Vec::<&String>::new(), "took effect more than once, {:?}", effects.counts);
+}
+
+// Guards against a returned message that may have run, and that another sender calls after its window of 1 s.
+#[test]
+fn no_effect_repeats_at_another_sender_with_a_window_of_1s() {
+    submit_returned_messages_to_the_other_sender(Duration::from_secs(1), false);
+}
+
+// Guards against a returned message that may have run, and that another sender calls after its window of 3 s.
+#[test]
+fn no_effect_repeats_at_another_sender_with_a_window_of_3s() {
+    submit_returned_messages_to_the_other_sender(Duration::from_secs(3), false);
+}
+
+// Guards against a returned message that may have run before a kill, and that another sender calls after its window.
+#[test]
+fn no_effect_repeats_after_a_kill_with_a_window_of_3s() {
+    submit_returned_messages_to_the_other_sender(Duration::from_secs(3), true);
+}
+
+// Guards against a notice that tells the client to submit a message again although the message may have run.
+#[test]
+fn a_keyed_message_whose_attempts_may_have_run_fails_and_is_not_returned() {
+    let endpoint = Endpoint::new(|request| status(if request.line.starts_with("POST") { 500 } else { 200 }));
+    let platform = Platform::new(vec![listed_endpoint("s-1", endpoint.addr, "one", 3, "Ready")]);
+    let sender = Sender::start(&platform);
+    sender.client().ping();
+    let message = Message::new(0);
+    assert_eq!(message.submit(&sender).as_deref(), Some("+OK"));
+    platform.wait_notice(&message.request_id(), "failed");
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -53,6 +53,7 @@
 mod logic;
 mod measure;
 mod random;
+mod repeats;
 mod rotation;
 mod state;
 
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -10,6 +10,7 @@
 use crate::interface::*;
 use crate::measure::ConnectionTables;
 use crate::random::Random;
+use crate::repeats::WINDOW_ATTEMPT_SHARE;
 use crate::rotation::RotationPlace;
 use crate::state::*;
 use std::collections::{BTreeMap, BTreeSet};
@@ -89,8 +90,6 @@
 const FINAL_ANSWER_LEAD_QUANTA: Micros = 2;
 /// Time within which the platform receives a message's final outcome even if the first notice is lost.
 const NOTICE_DELIVERY_US: Micros = 150_000;
-/// Maximum part of a keyed class's idempotency window that one attempt may take, so that a second attempt fits.
-const WINDOW_ATTEMPT_SHARE: f64 = 0.45;
 /// Share of the rate of accepted calls to which a refusal cuts the call budget.
 const BUDGET_CUT_FACTOR: f64 = 0.75;
 /// Growth per second and minimum of the call budget, as shares of this sender's own demand.
@@ -299,6 +298,7 @@
         self.schedule.insert((self.final_answer_due(&message), Check::Message(id)));
         self.open_messages += 1;
         self.messages.insert(id, message);
+        self.schedule_window_end(id);
     }
 
     /// Accepts a message from before a restart. Guards against delivering the message to a receiver twice.
@@ -314,10 +314,6 @@
         let is_first = self.destinations.get(&message.dest).is_none_or(|d| d.arrival_rate.value == 0.0);
         self.admit(id, message, time_left, is_first);
         let Some(message) = self.messages.get(&id) else { return };
-        let keyed = self.settings.classes.get(message.class).filter(|c| c.effect == Effect::Keyed);
-        if let (Some(class), Some((sent, _))) = (keyed, message.may_have_run) {
-            self.schedule.insert((sent + class.window, Check::Message(id)));
-        }
         let may_still_run = message.key.as_ref().filter(|_| message.may_have_run.is_some());
         if let Some(key) = may_still_run.and_then(|k| self.order_keys.get_mut(k)) {
             key.settle_until = self.now + self.settings.order_settle;
@@ -327,6 +323,12 @@
         }
     }
 
+    /// Schedules a check of a keyed message at the end of its idempotency window, after which it is sent no more.
+    fn schedule_window_end(&mut self, id: MsgId) {
+        let window_end = self.messages.get(&id).and_then(|message| self.key_window_end(message));
+        self.schedule.extend(window_end.map(|end| (end, Check::Message(id))));
+    }
+
     /// Restores an endpoint's health from before a restart.
     /// Guards against overloading an endpoint that was failing: its load is still increased gradually.
     fn restore_endpoint_health(&mut self, id: EndpointId, health: EndpointHealth) {
@@ -559,14 +561,10 @@
         let (is_first_outcome, connection_idle) = (!call.health_updated, call.connection_idle);
         (call.health_updated, call.open_attempts) = (true, call.open_attempts.saturating_sub(1));
         let call_ended = call.open_attempts == 0;
-        if !outcome.never_ran() && outcome != Outcome::Done {
+        let failed_after_possible_run = !outcome.never_ran() && outcome != Outcome::Done;
+        if failed_after_possible_run {
             let sent = message.may_have_run.map_or(attempt.sent, |m| m.0.min(attempt.sent));
             message.may_have_run = Some((sent, message.may_have_run.map_or(endpoint_id, |m| m.1)));
-            if let Some(class) =
-                self.settings.classes.get(message.class).filter(|c| c.effect == Effect::Keyed)
-            {
-                self.schedule.insert((sent + class.window, Check::Message(id)));
-            }
             let key = message.key.as_ref().filter(|_| outcome != Outcome::Error);
             if let Some(key) = key.and_then(|k| self.order_keys.get_mut(k)) {
                 key.settle_until = now + self.settings.order_settle;
@@ -576,6 +574,9 @@
         message.restored_untried &= outcome.never_sent();
         message.avoid = Some(endpoint_id);
         let closed = closes_message || outcome == Outcome::Done || message.closed;
+        if failed_after_possible_run {
+            self.schedule_window_end(id);
+        }
         if let Some(endpoint) = self.endpoints.get_mut(&endpoint_id).filter(|_| call_ended) {
             (endpoint.in_flight, endpoint.last_used) = (endpoint.in_flight - 1, now);
             self.lanes.entry(endpoint.lane).and_modify(|l| l.in_flight -= 1);
@@ -868,58 +869,10 @@
         }
     }
 
-    fn class_of(&self, message: &Message) -> &ClassSettings {
+    pub(crate) fn class_of(&self, message: &Message) -> &ClassSettings {
         self.settings.classes.get(message.class).unwrap_or(&self.default_class)
     }
 
-    fn max_attempts(&self, message: &Message) -> u32 {
-        self.class_of(message).max_attempts.unwrap_or(self.settings.max_attempts)
-    }
-
-    /// Returns whether a message may get a further attempt now.
-    fn may_retry(&self, id: MsgId) -> bool {
-        let Some(message) = self.messages.get(&id) else { return false };
-        if message.closed || message.counted_attempts() >= self.max_attempts(message) {
-            return false;
-        }
-        let class = self.class_of(message);
-        match (class.effect, message.may_have_run) {
-            (Effect::Safe, _) | (_, None) => true,
-            (Effect::Keyed, Some((first_sent, _))) => self.now < first_sent + class.window,
-            (Effect::Unsafe, Some(_)) => false,
-        }
-    }
-
-    /// Returns whether a message could be sent again if its next attempt ended with an unknown outcome.
-    fn is_repeatable(&self, message: &Message) -> bool {
-        let class = self.class_of(message);
-        let first_sent = message.may_have_run.map_or(self.now, |m| m.0);
-        let effect_allows = match class.effect {
-            Effect::Safe => true,
-            Effect::Keyed => self.now < first_sent + (class.window as f64 * WINDOW_ATTEMPT_SHARE) as Micros,
-            Effect::Unsafe => false,
-        };
-        effect_allows && message.counted_attempts() + 1 < self.max_attempts(message)
-    }
-
-    /// Returns whether the message may be refused, which promises the client that resubmitting is harmless.
-    /// A resubmission is a new message, and no sender knows that its idempotency key is in use.
-    /// Therefore the destination must still remember the idempotency key for long enough after a refusal.
-    /// Without this rule, a refusal late in the message's idempotency window led to a second effect.
-    fn may_refuse(&self, message: &Message) -> bool {
-        let class = self.class_of(message);
-        let in_flight = message.in_flight.iter().map(|a| a.sent);
-        let first_sent = message.may_have_run.map(|m| m.0).into_iter().chain(in_flight).min();
-        match (class.effect, first_sent) {
-            (Effect::Safe, _) | (_, None) => true,
-            (Effect::Keyed, Some(first_sent)) => {
-                let refusable_for = (class.window as f64 * WINDOW_ATTEMPT_SHARE) as Micros;
-                class.dedup_scope == DedupScope::All && self.now < first_sent + refusable_for
-            }
-            (Effect::Unsafe, Some(_)) => false,
-        }
-    }
-
     /// Ends a message with its final answer: a refusal if resubmitting is harmless, otherwise a failure.
     fn finish(&mut self, id: MsgId, out: &mut Vec<Action>) {
         let Some(message) = self.messages.get(&id) else { return };
@@ -1291,6 +1244,9 @@
         if !self.may_retry(id) || (excludes_unsafe && class.effect == Effect::Unsafe) {
             return false;
         }
+        if self.now < self.next_attempt_at(message) {
+            return false;
+        }
         if let Some(key) = message.key.as_ref().and_then(|k| self.order_keys.get(k))
             && (key.queue.first() != Some(&(message.sequence, id))
                 || (message.attempts == 0 && self.now < key.settle_until))
@@ -1369,8 +1325,9 @@
             }
             let key = message.key.as_ref().and_then(|k| self.order_keys.get(k));
             let settle_until = key.map_or(0, |k| k.settle_until);
-            if settle_until > self.now {
-                recheck.at = recheck.at.min(settle_until);
+            let sendable_at = [settle_until, self.next_attempt_at(message)];
+            for at in sendable_at.into_iter().filter(|at| *at > self.now) {
+                recheck.at = recheck.at.min(at);
             }
         }
         if !recheck.on_free_slot {
--- a/tests/handed.rs
+++ b/tests/handed.rs
@@ -159,9 +159,9 @@
             assert!(next.advance(S).is_empty(), "class {class}: sent again");
             assert_eq!((&next.refused, &next.failed), (&vec![], &vec![]), "class {class}: ended in flight");
             next.finish(&sent[0], outcome);
-            // An unsafe message that may have run has failed; other messages may be submitted again.
+            // A keyed or unsafe message that may have run has failed; other messages may be submitted again.
             let (refused, failed) = match (class, outcome) {
-                (UNSAFE, Outcome::Error) => (vec![], failed),
+                (KEYED | UNSAFE, Outcome::Error) => (vec![], failed),
                 _ => (refused, vec![]),
             };
             assert_eq!((next.refused, next.failed), (refused, failed), "class {class} after {outcome:?}");
--- a/tests/random.rs
+++ b/tests/random.rs
@@ -198,10 +198,10 @@
                     state.closed = true;
                     state.answers += 1;
                     let refused = matches!(action, Action::Refuse { .. });
-                    if refused && classes[state.class].effect == Effect::Unsafe {
+                    if refused && classes[state.class].effect != Effect::Safe {
                         assert!(
                             state.may_have_run_since.is_none() && state.in_flight.is_empty(),
-                            "seed {seed}: an unsafe message that may have run was refused"
+                            "seed {seed}: an unsafe or keyed message that may have run was refused"
                         );
                     }
                 }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -51,6 +51,62 @@
     assert_eq!(sender.refused.len() + sender.failed.len(), 1);
 }
 
+/// Starts a sender with one endpoint at which every attempt of message 1 (keyed) fails and may have run.
+/// Returns the sender and the times of the attempts, once the message has its final answer.
+fn keyed_message_at_a_failing_endpoint() -> (TestSender, Vec<Micros>) {
+    let without_probes = Settings { probes: false, ..settings() };
+    let mut sender = TestSender::new(without_probes, vec![entry(1, 1, 0)]);
+    let mut sent = sender.round(&[message(1, KEYED, 1)]);
+    let mut times = Vec::new();
+    while sender.refused.is_empty() && sender.failed.is_empty() {
+        match sent.pop() {
+            Some(attempt) => {
+                times.push(attempt.sent);
+                sender.now += 10 * MS;
+                sent = sender.finish(&attempt, Outcome::Error);
+            }
+            None => sent = sender.advance(10 * MS),
+        }
+    }
+    (sender, times)
+}
+
+// Guards against a returned message that its client submits again and that takes effect after its idempotency window.
+#[test]
+fn a_keyed_message_that_may_have_run_fails_with_its_last_attempt_and_is_not_refused() {
+    let (sender, times) = keyed_message_at_a_failing_endpoint();
+    assert_eq!((sender.failed.as_slice(), sender.refused.len()), (&[1][..], 0));
+    assert!(times.len() <= 5 && times.iter().all(|at| *at < 8 * S), "{times:?}");
+}
+
+// Guards against a message that uses up its attempts at the beginning of an outage and fails, as it may not be refused.
+#[test]
+fn the_attempts_of_a_keyed_message_that_may_have_run_are_spread_over_its_window() {
+    let (_, times) = keyed_message_at_a_failing_endpoint();
+    assert_eq!(times.len(), 5, "{times:?}");
+    assert!(times[1] < S, "the first repeat is not delayed: {times:?}");
+    assert!(times[4] >= 5 * S, "the window of 8 s is not used: {times:?}");
+}
+
+// Guards against a refusal to reduce load that returns a keyed message which may have run.
+#[test]
+fn a_keyed_message_that_may_have_run_is_not_refused_to_reduce_load() {
+    let mut sender = TestSender::new(settings(), vec![entry(1, 1, 0)]);
+    let sent = sender.round(&[message(1, KEYED, 1)]);
+    sender.now += 20 * MS;
+    let mut drained = entry(1, 1, 0);
+    drained.status = Status::Draining;
+    let outcome = sender.outcome(&sent[0], Outcome::Reset, 0);
+    sender.round(&[Event::Listing { complete: false, entries: vec![drained] }, outcome]);
+    // The message has lost part of its value by now, so that it would be the first to be refused.
+    sender.advance(3 * S);
+    let later: Vec<Event> = (2..200).map(|id| message(id, KEYED, 1)).collect();
+    sender.round(&later);
+    assert!(sender.refused.len() > 100 && !sender.refused.contains(&1), "{:?}", sender.refused);
+    sender.advance(8 * S);
+    assert_eq!(sender.failed, [1]);
+}
+
 #[test]
 fn a_keyed_message_is_resent_within_its_window() {
     let mut sender = TestSender::new(settings(), vec![entry(1, 1, 0), entry(2, 1, 0)]);
