A keyed message of a lost sender is sent only within its window

What callers would see: a sender dies, or does not answer, after it has called a receiver with a keyed message. The client submits the message to another sender with the mark again=1. That sender ignored the mark, took the message for one that never ran, and called for up to its whole time: past the key's window a second effect.

Cause: `again=1` was not read (mark 16 on the simulator's wire neither), and the decision module had no notion of an attempt that another sender may have made.

Change: such a message counts as one that may have run since it was first submitted. That time follows from what the client sends: the class's deadline less the time left is the message's age, whichever sender gets it. 400 ms are taken off for the way to the sender, as a client waits no longer. Past the window the message fails at once; it is not refused. Where only some endpoints remember a key, the lost sender's endpoint is not known and the window counts as over. The frames between two processes of one sender stay as they are, for replacements between versions: a replaced process does not forward such a message, but answers busy. A message without the mark was refused before, hence never ran, and keeps its whole time.

Why not limit every message with an age: a first submission may have less time left than its class allows, and untried messages would lose the time after their window.

Tests that failed before (the mark not passed on): resubmitted.rs, the three named a_message_of_a_lost_sender_*; the fourth, on messages refused before, holds both ways and guards against too strict a limit. rules.rs has two for the module.

--- a/crates/protocol/src/resp.rs
+++ b/crates/protocol/src/resp.rs
@@ -36,6 +36,10 @@
     /// Whether the client is known to have submitted the message before.
     #[serde(rename = "again")]
     pub resubmitted: bool,
+    /// Whether another sender had the message and died, or did not answer, so that the message may have taken effect.
+    /// The encoding of the processes of one sender for each other does not contain this field.
+    #[serde(skip)]
+    pub sender_lost: bool,
     /// The message's body: the bytes to deliver, in any format.
     pub body: Bytes,
 }
@@ -158,6 +162,7 @@
             "dest" => dest = value.parse().ok(),
             "k" => put.idempotency_key = Some(plain(value.to_string())?),
             "r" => put.resubmitted = value == "1",
+            "again" => put.sender_lost = value == "1",
             _ => {}
         }
     }
--- a/crates/protocol/src/resp_client.rs
+++ b/crates/protocol/src/resp_client.rs
@@ -34,6 +34,9 @@
     if put.resubmitted {
         fields.push_str(",r=1");
     }
+    if put.sender_lost {
+        fields.push_str(",again=1");
+    }
     fields
 }
 
--- a/crates/protocol/tests/resp_client.rs
+++ b/crates/protocol/tests/resp_client.rs
@@ -8,11 +8,11 @@
 
 fn message() -> impl Strategy<Value = Put> {
     let names = ("[ -~ä€]{0,30}", "[!-~]{1,128}", "[a-z=-]{0,20}", "[a-z=-]{0,20}");
-    let rest = (any::<u32>(), any::<i64>(), prop::option::of("[!-+--~]{1,128}"), any::<bool>());
+    let rest = (any::<u32>(), any::<i64>(), prop::option::of("[!-+--~]{1,128}"), any::<[bool; 2]>());
     (names, rest, vec(any::<u8>(), 0..300)).prop_map(
         |(
             (order_key, request_id, class, tenant),
-            (milliseconds, dest, idempotency_key, resubmitted),
+            (milliseconds, dest, idempotency_key, [resubmitted, sender_lost]),
             body,
         )| Put {
             order_key,
@@ -23,6 +23,7 @@
             dest,
             idempotency_key,
             resubmitted,
+            sender_lost,
             body: Bytes::from(body),
         },
     )
--- a/crates/scale/src/simulated_module.rs
+++ b/crates/scale/src/simulated_module.rs
@@ -111,7 +111,16 @@
 
 fn message(id: u64, destination: i64) -> Event {
     let (id, dest) = (MsgId(id), DestId(destination));
-    Event::Message { id, class: 0, tenant: 0, key: None, dest, time_left: TIME_LEFT_US, resubmitted: false }
+    Event::Message {
+        id,
+        class: 0,
+        tenant: 0,
+        key: None,
+        dest,
+        time_left: TIME_LEFT_US,
+        resubmitted: false,
+        may_have_run_since: None,
+    }
 }
 
 /// Returns the outcome of a started call; every call is a first attempt and delivers its message.
--- a/crates/sender/src/driver.rs
+++ b/crates/sender/src/driver.rs
@@ -67,6 +67,8 @@
 struct UnansweredPut {
     put: Put,
     deadline: Micros,
+    /// The earliest time at which an attempt of another sender may have taken effect.
+    may_have_run_since: Option<Micros>,
     reply: oneshot::Sender<Reply>,
 }
 
@@ -317,6 +319,10 @@
             }
         };
         let id = MsgId(self.journal.borrow_mut().allocate_number());
+        let now = self.clock.now();
+        let rules = self.class_table.settings(class).filter(|_| put.sender_lost);
+        let may_have_run_since =
+            rules.and_then(|rules| rules.possible_run_at_lost_sender(now, put.time_left));
         self.events.push(Event::Message {
             id,
             class,
@@ -325,13 +331,14 @@
             dest: DestId(put.dest),
             time_left: SET_IN_ROUND,
             resubmitted: put.resubmitted,
+            may_have_run_since,
         });
         self.by_request.insert(put.request_id.clone(), id);
         self.class_table.add_message(class);
         self.pending.insert(id, PendingMessage { row: class, ..PendingMessage::default() });
         self.retain_destination(id, put.dest);
-        let deadline = self.clock.now() + put.time_left;
-        self.unanswered_puts.insert(id, UnansweredPut { put, deadline, reply });
+        let deadline = now + put.time_left;
+        self.unanswered_puts.insert(id, UnansweredPut { put, deadline, may_have_run_since, reply });
     }
 
     /// Whether an unknown destination may have endpoints in the endpoint list that have not been read yet.
@@ -496,9 +503,8 @@
         }
         for event in events {
             let Event::Message { id, .. } = event else { continue };
-            let Some(UnansweredPut { put, deadline, reply }) = self.unanswered_puts.remove(id) else {
-                continue;
-            };
+            let Some(unanswered) = self.unanswered_puts.remove(id) else { continue };
+            let UnansweredPut { put, deadline, may_have_run_since, reply } = unanswered;
             if let Some(answer) = answers.get(id) {
                 let busy = matches!(answer, Reply::Busy { .. });
                 self.metrics.count(&put.class, if busy { MessageEnd::Refused } else { MessageEnd::Wrong });
@@ -519,7 +525,7 @@
             };
             let row = self.pending.get(id).and_then(|pending| self.class_table.settings(pending.row));
             let Some(rules) = row else { continue };
-            let recorded = self.journal.borrow_mut().accept(id.0, accepted, rules);
+            let recorded = self.journal.borrow_mut().accept(id.0, accepted, may_have_run_since, rules);
             let answer = match recorded {
                 Ok(()) => Reply::Accepted,
                 Err(e) => {
--- a/crates/sender/src/driver/handover.rs
+++ b/crates/sender/src/driver/handover.rs
@@ -204,6 +204,10 @@
                     None => (linked, awaiting_reply) = (false, HashMap::new()),
                 },
                 Some(input) = inbox.recv() => match input {
+                    // A forwarded message does not carry that another sender had it; the client is to submit it to the successor.
+                    Input::Put(put, answer) if put.sender_lost => {
+                        _ = answer.send(Reply::Busy { retry_after_ms: 0 });
+                    }
                     Input::Put(put, answer) => {
                         number += 1;
                         if linked && send.send(Frame::Put { number, put }).is_ok() {
--- a/crates/sender/src/interleavings.rs
+++ b/crates/sender/src/interleavings.rs
@@ -336,7 +336,16 @@
         self.process.submitted.insert(id, accepted);
         self.process.attempts.insert(id, 0);
         let (id, dest) = (MsgId(id), DestId(dest));
-        let event = Event::Message { id, class, tenant: 0, key: None, dest, time_left, resubmitted: false };
+        let event = Event::Message {
+            id,
+            class,
+            tenant: 0,
+            key: None,
+            dest,
+            time_left,
+            resubmitted: false,
+            may_have_run_since: None,
+        };
         self.process.events.push(event);
     }
 
@@ -425,7 +434,7 @@
             }
             self.process.step()?;
             let rules = &settings(self.max_attempts).classes[*class];
-            if self.process.journal.accept(id.0, accepted, rules).is_err() {
+            if self.process.journal.accept(id.0, accepted, None, rules).is_err() {
                 self.process.events.push(Event::MessageAbandoned { id: *id });
                 continue;
             }
--- a/crates/sender/src/journal.rs
+++ b/crates/sender/src/journal.rs
@@ -26,6 +26,8 @@
 
 /// Upper bound in bytes for the size of a record of class rules.
 const MAX_RULES_BYTES: u64 = 96;
+/// Name in the journal for the endpoint of another sender's attempt, which no endpoint has.
+const UNKNOWN_ENDPOINT: &str = "";
 /// Maximum number of draining or gone endpoints that the journal records.
 const MAX_NOT_READY: usize = 500;
 
@@ -484,12 +486,21 @@
     }
 
     /// Records a message accepted under the rules in `class`. After an error the message has not been accepted.
-    pub fn accept(&mut self, id: u64, accepted: Accepted, class: &ClassSettings) -> io::Result<()> {
+    /// `may_have_run_since` is the earliest time at which an attempt of another sender may have taken effect.
+    pub fn accept(
+        &mut self,
+        id: u64,
+        accepted: Accepted,
+        may_have_run_since: Option<Micros>,
+        class: &ClassSettings,
+    ) -> io::Result<()> {
         let reserve = (self.limit as f64 * OUTCOME_RESERVE) as u64;
         let rules = Rules::from(class);
         let known = self.rules.iter().find(|(_, r)| **r == rules).map(|(number, _)| *number);
         let number = known.unwrap_or_else(|| self.rules.keys().next_back().map_or(0, |last| last + 1));
-        let message = Record::MessageUnderRules(number, id, accepted, Progress::default());
+        let may_have_run = may_have_run_since.map(|since| (UNKNOWN_ENDPOINT.to_string(), since));
+        let progress = Progress { may_have_run, ..Progress::default() };
+        let message = Record::MessageUnderRules(number, id, accepted, progress);
         let frame = encode(&message)?;
         // Room is made before the rules are written, since a compaction drops rules without messages.
         self.make_room(frame.len() as u64 + MAX_RULES_BYTES, reserve)?;
@@ -712,7 +723,7 @@
     fn a_journal_of_an_earlier_version_has_no_receiver_health() {
         let folder = tempfile::tempdir().unwrap();
         let mut journal = reopen(folder.path());
-        journal.accept(1, accepted(5), &ClassSettings::default()).unwrap();
+        journal.accept(1, accepted(5), None, &ClassSettings::default()).unwrap();
         drop(journal);
         let mut journal = reopen(folder.path());
         assert!(!journal.has_receiver_records() && journal.entries().count() == 1);
--- a/crates/sender/tests/resubmitted.rs
+++ b/crates/sender/tests/resubmitted.rs
@@ -76,8 +76,23 @@
 
     /// Submits the message to a sender and returns the sender's reply.
     fn submit(&self, sender: &Sender) -> Option<String> {
+        self.submit_with(sender, "")
+    }
+
+    /// Submits the message to a sender, as a message that another sender had which died, and returns the reply.
+    fn submit_after_loss(&self, sender: &Sender) -> Option<String> {
+        self.submit_with(sender, ",again=1")
+    }
+
+    fn submit_with(&self, sender: &Sender, marks: &str) -> Option<String> {
         let time_left = DEADLINE.saturating_sub(self.first_submitted.elapsed()).as_millis();
-        sender.try_put(&self.request_id(), &format!("c=push,d={time_left},dest=3,k={}", self.key()))
+        let fields = format!("c=push,d={time_left},dest=3,k={}{marks}", self.key());
+        sender.try_put(&self.request_id(), &fields)
+    }
+
+    /// Creates a message that its client first submitted the given time ago.
+    fn of_age(number: usize, age: Duration) -> Message {
+        Message { first_submitted: Instant::now() - age, ..Message::new(number) }
     }
 }
 
@@ -160,3 +175,63 @@
     assert_eq!(message.submit(&sender).as_deref(), Some("+OK"));
     platform.wait_notice(&message.request_id(), "failed");
 }
+
+/// Starts a sender and an endpoint that turns away every call with `code`. The window of the class `push` is 3 s.
+fn sender_and_endpoint(code: u16) -> (Endpoint, Platform, Sender) {
+    let endpoint =
+        Endpoint::new(move |request| status(if request.line.starts_with("POST") { code } else { 200 }));
+    let platform = Platform::new(vec![listed_endpoint("s-1", endpoint.addr, "one", 3, "Ready")]);
+    let sender = Sender::start(&platform);
+    sender.client().ping();
+    (endpoint, platform, sender)
+}
+
+// Guards against a call after the window with a message that a sender had which died, and that it may have sent.
+#[test]
+fn a_message_of_a_lost_sender_is_called_only_within_its_window_since_its_first_submission() {
+    let (endpoint, platform, sender) = sender_and_endpoint(503);
+    let message = Message::of_age(0, Duration::from_secs(1));
+    assert_eq!(message.submit_after_loss(&sender).as_deref(), Some("+OK"));
+    endpoint.wait_sent(&message.request_id());
+    platform.wait_notice(&message.request_id(), "failed");
+    let last = endpoint.requests().iter().map(|request| request.at).max().unwrap();
+    assert!(last - message.first_submitted < Duration::from_secs(3));
+    assert!(
+        message.first_submitted.elapsed() < Duration::from_secs(6),
+        "the answer comes at the window's end"
+    );
+}
+
+// Guards against the same after a restart, which must not forget that another sender had the message.
+#[test]
+fn a_message_of_a_lost_sender_is_not_called_after_its_window_by_a_restarted_sender() {
+    let (endpoint, platform, mut sender) = sender_and_endpoint(503);
+    let message = Message::of_age(0, Duration::from_millis(1500));
+    assert_eq!(message.submit_after_loss(&sender).as_deref(), Some("+OK"));
+    endpoint.wait_sent(&message.request_id());
+    sender.kill();
+    endpoint.set_script(|_| status(200));
+    let before = endpoint.call_count(&message.request_id());
+    wait_until("the window's end", || message.first_submitted.elapsed() > Duration::from_secs(3));
+    sender.spawn();
+    platform.wait_notice(&message.request_id(), "failed");
+    assert_eq!(endpoint.call_count(&message.request_id()), before);
+}
+
+// Guards against a message that is held although no sender may send it any more.
+#[test]
+fn a_message_of_a_lost_sender_fails_at_once_after_its_window() {
+    let (endpoint, _platform, sender) = sender_and_endpoint(200);
+    let message = Message::of_age(0, Duration::from_secs(4));
+    assert_eq!(message.submit_after_loss(&sender).as_deref(), Some("-ERR the message failed"));
+    assert_eq!(endpoint.call_count(&message.request_id()), 0);
+}
+
+// Guards against a limit on messages whose earlier submissions were refused, which proves that they never ran.
+#[test]
+fn a_message_that_was_refused_before_is_called_until_its_deadline() {
+    let (endpoint, _platform, sender) = sender_and_endpoint(200);
+    let message = Message::of_age(0, Duration::from_secs(15));
+    assert_eq!(message.submit(&sender).as_deref(), Some("+OK"));
+    endpoint.wait_sent(&message.request_id());
+}
--- a/crates/wirehost/src/lib.rs
+++ b/crates/wirehost/src/lib.rs
@@ -7,15 +7,20 @@
 
 use embershore_protocol::settings;
 use heronroute::{
-    Action, DestId, Dispatcher, EndpointEntry, EndpointId, Event, LoadReport, Micros, MsgId, Outcome, Status,
+    Action, ClassSettings, DestId, Dispatcher, EndpointEntry, EndpointId, Event, LoadReport, Micros, MsgId,
+    Outcome, Status,
 };
 use serde::Deserialize;
 use serde_json::{Map, Value, json};
 use std::collections::BTreeMap;
 
+/// Mark of a message that comes from a sender that died.
+const MARK_SENDER_LOST: i64 = 16;
+
 /// An instance: one sender's dispatcher, with the numbers that this sender gives to endpoints.
 struct Instance {
     dispatcher: Dispatcher,
+    classes: Vec<ClassSettings>,
     numbers: BTreeMap<String, EndpointId>,
     names: Vec<String>,
 }
@@ -231,7 +236,7 @@
         let Some(instance) = self.instances.get_mut(name) else {
             return Ok(());
         };
-        if let Some(event) = decode_event(&fields, instance, &self.tables)? {
+        if let Some(event) = decode_event(now, &fields, instance, &self.tables)? {
             if !queues.contains_key(name) {
                 order.push(name.to_string());
             }
@@ -253,9 +258,11 @@
         let seed = seed.ok_or_else(|| fields.value_error(1, "a whole number"))?;
         let data = settings::ProfileData::deserialize(fields.required(2, "the settings")?)
             .map_err(|error| format!("NewInstance {name}: settings: {error}"))?;
-        let dispatcher = Dispatcher::new(now, seed, data.settings())
-            .map_err(|error| format!("NewInstance {name}: {error}"))?;
-        let instance = Instance { dispatcher, numbers: BTreeMap::new(), names: Vec::new() };
+        let settings = data.settings();
+        let classes = settings.classes.clone();
+        let dispatcher =
+            Dispatcher::new(now, seed, settings).map_err(|error| format!("NewInstance {name}: {error}"))?;
+        let instance = Instance { dispatcher, classes, numbers: BTreeMap::new(), names: Vec::new() };
         self.instances.insert(name.to_string(), instance);
         order.retain(|other| other != name);
         order.push(name.to_string());
@@ -265,7 +272,20 @@
 }
 
 /// Decodes a protocol message into an event for an instance; returns `None` if the message causes no event.
+/// Returns the earliest time at which a message that comes from a sender that died may have taken effect.
+fn possible_run_at_lost_sender(
+    now: Micros,
+    fields: &Fields<'_>,
+    instance: &Instance,
+) -> Result<Option<Micros>, String> {
+    let is_from_lost_sender = fields.int_or(8, 0)? & MARK_SENDER_LOST != 0;
+    let class = instance.classes.get(fields.index_or(2, 0)?).filter(|_| is_from_lost_sender);
+    let time_left = fields.int(5)?;
+    Ok(class.and_then(|class| class.possible_run_at_lost_sender(now, time_left)))
+}
+
 fn decode_event(
+    now: Micros,
     fields: &Fields<'_>,
     instance: &mut Instance,
     tables: &BTreeMap<i64, Vec<TableEntry>>,
@@ -296,6 +316,7 @@
             dest: DestId(fields.int_or(7, 0)?),
             time_left: fields.int(5)?,
             resubmitted: fields.int_or(8, 0)? & 2 != 0,
+            may_have_run_since: possible_run_at_lost_sender(now, fields, instance)?,
         },
         "Outcome" => {
             let outcome = fields.outcome(2)?;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -469,6 +469,9 @@
         time_left: Micros,
         /// Whether the client is known to have submitted the message before.
         resubmitted: bool,
+        /// The earliest time at which an attempt of another sender may have taken effect.
+        /// The value comes from [`ClassSettings::possible_run_at_lost_sender`]; `None` if no other sender had the message.
+        may_have_run_since: Option<Micros>,
     },
     /// A message accepted before a restart of this sender, which still needs its final answer.
     MessageRestored {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -24,7 +24,7 @@
 //! };
 //! let message = Event::Message {
 //!     id: MsgId(1), class: 0, tenant: 0, key: None, dest: DestId(7), time_left: 5_000_000,
-//!     resubmitted: false,
+//!     resubmitted: false, may_have_run_since: None,
 //! };
 //! let mut actions = Vec::new();
 //! let listing = Event::Listing { complete: true, entries: vec![endpoint] };
--- a/src/repeats.rs
+++ b/src/repeats.rs
@@ -8,6 +8,10 @@
 use crate::logic::Dispatcher;
 use crate::state::*;
 
+/// Number of no endpoint, for an attempt whose endpoint is not known.
+pub(crate) const UNKNOWN_ENDPOINT: EndpointId = EndpointId(u32::MAX);
+/// Maximum time from when a client sends a message until the sender handles it; a client waits no longer for an answer.
+const MAX_SUBMISSION_DELAY_US: Micros = 400_000;
 /// Maximum part of a keyed class's idempotency window that one attempt may take, so that a second attempt fits.
 pub(crate) const WINDOW_ATTEMPT_SHARE: f64 = 0.45;
 /// Part of a keyed message's idempotency window before which its last allowed attempt does not begin.
@@ -15,6 +19,24 @@
 /// Factor by which the time until an attempt decreases for each further attempt that is left.
 const ATTEMPT_SPACING_FACTOR: f64 = 0.5;
 
+impl ClassSettings {
+    /// Returns the earliest time at which a message may have taken effect that a lost sender had before.
+    /// A lost sender has died or did not answer. `time_left` is the time until the deadline as the client sent it.
+    ///
+    /// No attempt precedes the first submission to any sender, whose time follows from the class's deadline.
+    /// The result is `None` unless the class is keyed: safe messages may be repeated at any time, and clients submit
+    /// unsafe messages again only if no attempt was made.
+    /// Where only some endpoints remember a key, the lost sender's endpoint is not known, and the window counts as over.
+    pub fn possible_run_at_lost_sender(&self, now: Micros, time_left: Micros) -> Option<Micros> {
+        let age = (self.deadline - time_left).max(0);
+        match (self.effect, self.dedup_scope) {
+            (Effect::Safe | Effect::Unsafe, _) => None,
+            (Effect::Keyed, DedupScope::All) => Some(now - age - MAX_SUBMISSION_DELAY_US),
+            (Effect::Keyed, DedupScope::Zone | DedupScope::Endpoint) => Some(now - self.window),
+        }
+    }
+}
+
 impl Dispatcher {
     fn max_attempts(&self, message: &Message) -> u32 {
         self.class_of(message).max_attempts.unwrap_or(self.settings.max_attempts)
--- a/tests/common/even.rs
+++ b/tests/common/even.rs
@@ -279,6 +279,7 @@
                         dest,
                         time_left,
                         resubmitted,
+                        may_have_run_since: None,
                     });
                 }
                 for (e, idle) in sender.idle.iter_mut().enumerate() {
--- a/tests/common/fleet.rs
+++ b/tests/common/fleet.rs
@@ -170,6 +170,7 @@
                             dest: DestId(dest as i64),
                             time_left: MESSAGE_TTL,
                             resubmitted: false,
+                            may_have_run_since: None,
                         });
                     }
                 }
--- a/tests/common/herd.rs
+++ b/tests/common/herd.rs
@@ -329,6 +329,7 @@
                         dest: DestId(1),
                         time_left: left,
                         resubmitted: false,
+                        may_have_run_since: None,
                     });
                 }
             }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -58,13 +58,31 @@
 /// Returns a new message without an order key, with 20 s until its deadline.
 pub fn message(id: u64, class: usize, dest: i64) -> Event {
     let (id, dest) = (MsgId(id), DestId(dest));
-    Event::Message { id, class, tenant: 0, key: None, dest, time_left: 20 * S, resubmitted: false }
+    Event::Message {
+        id,
+        class,
+        tenant: 0,
+        key: None,
+        dest,
+        time_left: 20 * S,
+        resubmitted: false,
+        may_have_run_since: None,
+    }
 }
 
 /// Returns a new message of the ordered class with the given order key, with 20 s until its deadline.
 pub fn ordered(id: u64, dest: i64, key: &str) -> Event {
     let (id, dest, key) = (MsgId(id), DestId(dest), Some(key.to_string()));
-    Event::Message { id, class: ORDERED, tenant: 0, key, dest, time_left: 20 * S, resubmitted: false }
+    Event::Message {
+        id,
+        class: ORDERED,
+        tenant: 0,
+        key,
+        dest,
+        time_left: 20 * S,
+        resubmitted: false,
+        may_have_run_since: None,
+    }
 }
 
 /// An xorshift random number generator for the fleet simulations. A seed always gives the same numbers.
--- a/tests/design.rs
+++ b/tests/design.rs
@@ -256,10 +256,12 @@
 
 /// Returns a message for destination 1 with the given time until its deadline.
 fn message_with_time_left(id: u64, class: usize, time_left: Micros) -> Event {
-    let Event::Message { id, class, tenant, key, dest, resubmitted, .. } = message(id, class, 1) else {
+    let Event::Message { id, class, tenant, key, dest, resubmitted, may_have_run_since, .. } =
+        message(id, class, 1)
+    else {
         unreachable!()
     };
-    Event::Message { id, class, tenant, key, dest, time_left, resubmitted }
+    Event::Message { id, class, tenant, key, dest, time_left, resubmitted, may_have_run_since }
 }
 
 #[test]
--- a/tests/kept.rs
+++ b/tests/kept.rs
@@ -14,7 +14,16 @@
 
 fn message(id: u64) -> Event {
     let (id, class, tenant, key, dest) = (MsgId(id), 0, 0, None, DestId(1));
-    Event::Message { id, class, tenant, key, dest, time_left: 10 * S, resubmitted: false }
+    Event::Message {
+        id,
+        class,
+        tenant,
+        key,
+        dest,
+        time_left: 10 * S,
+        resubmitted: false,
+        may_have_run_since: None,
+    }
 }
 
 fn sends(actions: &[Action]) -> usize {
--- a/tests/random.rs
+++ b/tests/random.rs
@@ -67,7 +67,16 @@
             };
             messages.insert(id, state);
             let (id, dest) = (MsgId(id), DestId(dest));
-            events.push(Event::Message { id, class, tenant: 0, key, dest, time_left, resubmitted: false });
+            events.push(Event::Message {
+                id,
+                class,
+                tenant: 0,
+                key,
+                dest,
+                time_left,
+                resubmitted: false,
+                may_have_run_since: None,
+            });
         }
         let open_attempts: Vec<(u64, u32)> = messages
             .iter()
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -107,6 +107,53 @@
     assert_eq!(sender.failed, [1]);
 }
 
+/// Returns a keyed message that another sender may have sent since `since`.
+fn keyed_of_lost_sender(id: u64, since: Micros) -> Event {
+    let Event::Message { id, class, tenant, key, dest, time_left, resubmitted, .. } = message(id, KEYED, 1)
+    else {
+        unreachable!()
+    };
+    Event::Message { id, class, tenant, key, dest, time_left, resubmitted, may_have_run_since: Some(since) }
+}
+
+// Guards against a message of a lost sender that is sent after its window, or refused although it may have run.
+#[test]
+fn a_keyed_message_of_a_lost_sender_is_sent_only_within_its_window_and_not_refused() {
+    let mut sender = TestSender::new(settings(), vec![]);
+    sender.now = 10 * S;
+    sender.round(&[keyed_of_lost_sender(1, 3 * S)]);
+    sender.advance(S - 10 * MS);
+    assert!(sender.failed.is_empty() && sender.refused.is_empty());
+    sender.advance(20 * MS);
+    assert_eq!((sender.failed.as_slice(), sender.refused.len()), (&[1][..], 0));
+    sender.round(&[Event::Listing { complete: true, entries: vec![entry(1, 1, 0)] }]);
+    let sent = sender.round(&[keyed_of_lost_sender(2, 4 * S), keyed_of_lost_sender(3, 2 * S)]);
+    assert_eq!(sent.iter().map(|attempt| attempt.id).collect::<Vec<_>>(), [2]);
+    assert_eq!(sender.failed, [1, 3]);
+}
+
+#[test]
+fn the_window_of_a_lost_senders_message_begins_with_its_first_submission() {
+    let class = |effect, dedup_scope| ClassSettings {
+        effect,
+        dedup_scope,
+        deadline: 20 * S,
+        window: 8 * S,
+        ..ClassSettings::default()
+    };
+    let since =
+        |effect, scope, time_left| class(effect, scope).possible_run_at_lost_sender(100 * S, time_left);
+    let delay = 400 * MS;
+    assert_eq!(since(Effect::Keyed, DedupScope::All, 15 * S), Some(95 * S - delay));
+    // The time left may exceed the deadline, which a reload has changed.
+    assert_eq!(since(Effect::Keyed, DedupScope::All, 25 * S), Some(100 * S - delay));
+    assert_eq!(since(Effect::Safe, DedupScope::All, 15 * S), None);
+    assert_eq!(since(Effect::Unsafe, DedupScope::All, 15 * S), None);
+    // It is not known which endpoints remember the key: the window is over.
+    assert_eq!(since(Effect::Keyed, DedupScope::Zone, 20 * S), Some(92 * S));
+    assert_eq!(since(Effect::Keyed, DedupScope::Endpoint, 20 * S), Some(92 * S));
+}
+
 #[test]
 fn a_keyed_message_is_resent_within_its_window() {
     let mut sender = TestSender::new(settings(), vec![entry(1, 1, 0), entry(2, 1, 0)]);
@@ -406,7 +453,16 @@
 
 fn message_with_time_left(id: u64, time_left: Micros) -> Event {
     let (id, dest) = (MsgId(id), DestId(1));
-    Event::Message { id, class: SAFE, tenant: 0, key: None, dest, time_left, resubmitted: false }
+    Event::Message {
+        id,
+        class: SAFE,
+        tenant: 0,
+        key: None,
+        dest,
+        time_left,
+        resubmitted: false,
+        may_have_run_since: None,
+    }
 }
 
 #[test]
@@ -426,7 +482,16 @@
 fn the_next_message_of_a_key_waits_until_the_end_before_it_is_reported() {
     let mut sender = TestSender::new(settings(), vec![]);
     let (id, dest, key) = (MsgId(1), DestId(1), Some("k".to_string()));
-    let short = Event::Message { id, class: ORDERED, tenant: 0, key, dest, time_left: S, resubmitted: false };
+    let short = Event::Message {
+        id,
+        class: ORDERED,
+        tenant: 0,
+        key,
+        dest,
+        time_left: S,
+        resubmitted: false,
+        may_have_run_since: None,
+    };
     sender.round(&[short, ordered(2, 1, "k")]);
     while sender.refused.is_empty() {
         sender.advance(5 * MS);
