A forwarded message is not called busy when its successor dies

What callers would see: a process is replaced, and forwards a request that it was still reading to the new process. The new one takes the message on and dies before its reply is read.

Cause: `Driver::forward_until_idle` dropped the replies that it owed when the link ended, and a dropped reply counts as busy. Found by reading while related paths were looked at.

Change: such a message is answered as failed, unless its class is safe to repeat. What was not forwarded is answered busy as before. The bookkeeping of forwarded messages becomes a type of its own.

--- a/crates/sender/src/driver/handover.rs
+++ b/crates/sender/src/driver/handover.rs
@@ -9,7 +9,7 @@
 use crate::status::{Change, Phase};
 use embershore_handover::{Frame, Owner, OwnerAction, OwnerEvent, State};
 use embershore_protocol::resp::Reply;
-use heronroute::{DestId, EndpointId, InFlightCall, MsgId, Outcome};
+use heronroute::{DestId, Effect, EndpointId, InFlightCall, MsgId, Outcome};
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
@@ -37,6 +37,44 @@
     pub(super) attempts_in_flight: BTreeMap<(MsgId, u32), (u64, EndpointId)>,
 }
 
+/// A client's message that a replaced process has forwarded to its successor and that has no reply yet.
+struct ForwardedPut {
+    /// Whether the message's class allows any number of repeats.
+    is_safe: bool,
+    reply: oneshot::Sender<Reply>,
+}
+
+/// The forwarded messages without a reply, by the number in their frames.
+/// Their number is bounded by the limit of requests that clients may have unanswered.
+#[derive(Default)]
+struct ForwardedPuts {
+    last_number: u64,
+    unanswered: HashMap<u64, ForwardedPut>,
+}
+
+impl ForwardedPuts {
+    /// Returns the number of the next message to be forwarded.
+    fn next_number(&mut self) -> u64 {
+        self.last_number += 1;
+        self.last_number
+    }
+
+    /// Passes the successor's reply on to the client.
+    fn answer(&mut self, number: u64, reply: Reply) {
+        _ = self.unanswered.remove(&number).map(|put| put.reply.send(reply));
+    }
+
+    /// Answers all messages after the successor has gone.
+    /// The successor may have accepted them before it could reply, and the next process then sends them.
+    /// "Busy" would make a client submit such a message again, and it would take effect under two ids.
+    fn fail_unanswered(&mut self) {
+        for put in std::mem::take(&mut self.unanswered).into_values() {
+            let reply = if put.is_safe { Reply::Busy { retry_after_ms: 0 } } else { Reply::Failed };
+            _ = put.reply.send(reply);
+        }
+    }
+}
+
 impl Driver {
     /// Sends the predecessor's frames to the driver until the predecessor exits.
     pub(super) fn follow_predecessor(
@@ -181,37 +219,45 @@
         }
     }
 
+    /// Returns whether the messages of a class may be repeated any number of times.
+    fn is_safe(&self, class: &str) -> bool {
+        let row = self.class_table.current_row(class, self.clock.now());
+        let rules = row.and_then(|row| self.class_table.settings(row));
+        rules.is_some_and(|rules| rules.effect == Effect::Safe)
+    }
+
     /// Forwards messages, replies and outcomes between clients, calls and the successor that has taken over.
     /// Returns once no call and no client connection is left, or at the exit deadline.
     pub(super) async fn forward_until_idle(mut self, mut inbox: mpsc::Receiver<Input>, link: Link) {
         _ = self.status.change(Change::HandedOver);
         self.metrics.outstanding.set(0);
         let BackgroundLink { send, mut frames, task } = link.run_in_background();
-        let (mut awaiting_reply, mut number, mut linked) =
-            (HashMap::<u64, oneshot::Sender<Reply>>::new(), 0, true);
+        let (mut forwarded, mut linked) = (ForwardedPuts::default(), true);
         loop {
             tokio::select! {
                 biased;
                 frame = frames.recv(), if linked => match frame {
-                    Some(Frame::Reply { number, reply }) => {
-                        _ = awaiting_reply.remove(&number).map(|answer| answer.send(reply));
-                    }
+                    Some(Frame::Reply { number, reply }) => forwarded.answer(number, reply),
                     Some(Frame::Cancel { call }) => {
                         _ = self.calls_in_flight.get_mut(&call).and_then(Option::take).map(|cancel| cancel.send(()));
                     }
                     Some(_) => {}
-                    // A client whose reply channel is dropped here gets the reply "busy, retry".
-                    None => (linked, awaiting_reply) = (false, HashMap::new()),
+                    None => {
+                        linked = false;
+                        forwarded.fail_unanswered();
+                    }
                 },
                 Some(input) = inbox.recv() => match input {
                     // A forwarded message does not carry that another sender had it; the client is to submit it to the successor.
                     Input::Put(put, answer) if put.sender_lost => {
                         _ = answer.send(Reply::Busy { retry_after_ms: 0 });
                     }
-                    Input::Put(put, answer) => {
-                        number += 1;
+                    // A client whose reply channel is dropped here gets the reply "busy, retry".
+                    Input::Put(put, reply) => {
+                        let is_safe = self.is_safe(&put.class);
+                        let number = forwarded.next_number();
                         if linked && send.send(Frame::Put { number, put }).is_ok() {
-                            awaiting_reply.insert(number, answer);
+                            forwarded.unanswered.insert(number, ForwardedPut { is_safe, reply });
                         }
                     }
                     Input::CallEnded(call, CallEnd { outcomes, elapsed, wait, report, .. }) => {
--- a/crates/sender/tests/handover.rs
+++ b/crates/sender/tests/handover.rs
@@ -340,6 +340,33 @@
     assert_eq!(sent.len(), sent.iter().collect::<HashSet<_>>().len(), "a message was sent twice: {sent:?}");
 }
 
+// Guards against a refusal of a message that a dead successor may have accepted: its client submits it again, and the
+// next process sends it as well.
+#[test]
+fn a_forwarded_message_is_not_refused_when_the_successor_dies_before_its_reply() {
+    const PUSH: &str = "c=push,d=20000,dest=3,k=5c0f6e1a2b3d4c59";
+    for (fields, expected) in
+        [(PAY, "-ERR the message failed"), (PUSH, "-ERR the message failed"), (SYNC, "-BUSY")]
+    {
+        let (_endpoint, _platform, mut processes) = start_first(|_| status(200));
+        let command = put("a1", &format!("{fields},t=acme"), b"hello");
+        let (begin, rest) = command.split_at(command.len() / 2);
+        let mut client = processes.client();
+        client.write(begin);
+        // Once a later client is answered, the first process has accepted the earlier connection.
+        processes.client().ping();
+        processes.start();
+        processes.wait_ready(1);
+        processes.signal(1, "-STOP");
+        client.write(rest);
+        // The first process forwards the message in this time.
+        thread::sleep(Duration::from_millis(200));
+        processes.signal(1, "-KILL");
+        let reply = client.read();
+        assert!(reply.starts_with(expected), "{fields}: {reply}");
+    }
+}
+
 #[test]
 fn a_stopped_owner_is_waited_for_and_its_journal_is_not_written() {
     let (endpoint, platform, mut processes) = start_first(|_| status(200));
