Review case 7: hand in only what the receivers of the case may get

The case handed payouts to receivers of a kind that gets none; now its messages are response-push alone.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -57,8 +57,7 @@
         if not await sender.ready():
             record.say("the sender was not ready")
             return rig.COULD_NOT_RUN
-        await asyncio.gather(*(hand_in(c, d) for _ in range(20) for c, d in
-                               [("response-push", 24000), ("airtime-payout", 28000)]))
+        await asyncio.gather(*(hand_in("response-push", 24000) for _ in range(40)))
         discovery.delay = ANSWER_S if rig.TROUBLE else 0.0
         record(f"from now on discovery answers after {discovery.delay} s")
         sender.signal(signal.SIGKILL)
