Pipelined messages no longer wait for each other's memory

Cause: the memory of messages without a reply is one pool of permits for all connections. A connection took permits for each message of a group (up to 64) and waited for the next one while it kept the earlier ones; their replies, and so their permits, were awaited only after the group was complete. Connections that each held a part waited for each other.

Change: a connection waits for permits only while it holds none. If the pool has no room for a further message, the message is deferred, the group ends with the messages before it, and the next group begins with the deferred one. Holders of permits thus wait for the driver or another owner alone, which both answer in bounded time. The order of replies is unchanged. The time that a message waits is taken off the time that it has left.

--- a/crates/sender/src/clients.rs
+++ b/crates/sender/src/clients.rs
@@ -64,6 +64,37 @@
     Forwarded(oneshot::Receiver<Reply>, OwnedSemaphorePermit),
 }
 
+/// A message that has been read and not been submitted yet.
+struct UnsubmittedPut {
+    put: Put,
+    read_at: Instant,
+}
+
+impl UnsubmittedPut {
+    fn new(put: Put) -> Self {
+        UnsubmittedPut { put, read_at: Instant::now() }
+    }
+
+    /// Returns the memory that the message is counted with until it has a reply, in bytes.
+    fn counted_bytes(&self) -> u32 {
+        (self.put.body.len() + PUT_OVERHEAD) as u32
+    }
+
+    /// Returns the message with the time that it has left now: it may have waited for memory.
+    fn into_put(self) -> Put {
+        let waited = self.read_at.elapsed().as_micros() as Micros;
+        Put { time_left: (self.put.time_left - waited).max(0), ..self.put }
+    }
+}
+
+/// What has become of a command that was to be started.
+enum Start {
+    /// The command has a reply, or will have one.
+    Started(PendingReply),
+    /// The message has to wait until the connection's earlier messages have their replies.
+    Deferred(UnsubmittedPut),
+}
+
 impl PendingReply {
     fn busy(retry_after_ms: u64) -> Self {
         PendingReply::Text(Reply::Busy { retry_after_ms }.encode())
@@ -250,6 +281,8 @@
     ended: bool,
     /// The permit for a buffer larger than [`USUAL_COMMAND_BYTES`].
     long_command: Option<OwnedSemaphorePermit>,
+    /// A message that was read and could not be started with the messages before it.
+    deferred: Option<UnsubmittedPut>,
     driver: mpsc::Sender<Input>,
     status: watch::Receiver<ProcessStatus>,
     origin: Origin,
@@ -259,21 +292,7 @@
 impl Client {
     async fn serve(mut self) -> std::io::Result<()> {
         loop {
-            let mut replies = Vec::new();
-            let mut malformed = false;
-            while replies.len() < MAX_PIPELINE && !malformed {
-                match decode_command(&mut self.buf) {
-                    Ok(Some(args)) => {
-                        self.guard.entry.busy.set(true);
-                        replies.push(self.start(&args).await);
-                    }
-                    Ok(None) => break,
-                    Err(e) => {
-                        replies.push(PendingReply::Text(format!("-ERR {e}\r\n")));
-                        malformed = true;
-                    }
-                }
-            }
+            let (replies, malformed) = self.start_group().await;
             if replies.is_empty() {
                 if self.ended || !self.read().await? {
                     return Ok(());
@@ -297,12 +316,41 @@
                 return self.close_gracefully().await;
             }
             // Releases the permit and the memory of a long command.
-            if self.buf.len() < READ_AHEAD && self.long_command.take().is_some() {
+            let long_input = self.buf.len() >= READ_AHEAD || self.deferred.is_some();
+            if !long_input && self.long_command.take().is_some() {
                 self.buf = BytesMut::from(&self.buf[..]);
             }
         }
     }
 
+    /// Starts the next commands that have been read, at most [`MAX_PIPELINE`] of them.
+    /// Returns their replies, and whether the input after them is malformed.
+    async fn start_group(&mut self) -> (Vec<PendingReply>, bool) {
+        let mut replies = Vec::new();
+        if let Some(put) = self.deferred.take() {
+            replies.push(self.submit_when_possible(put).await);
+        }
+        while replies.len() < MAX_PIPELINE {
+            let args = match decode_command(&mut self.buf) {
+                Ok(Some(args)) => args,
+                Ok(None) => break,
+                Err(e) => {
+                    replies.push(PendingReply::Text(format!("-ERR {e}\r\n")));
+                    return (replies, true);
+                }
+            };
+            self.guard.entry.busy.set(true);
+            match self.start(&args, replies.is_empty()).await {
+                Start::Started(reply) => replies.push(reply),
+                Start::Deferred(put) => {
+                    self.deferred = Some(put);
+                    break;
+                }
+            }
+        }
+        (replies, false)
+    }
+
     /// Reads more input. Returns false if the connection is to be closed.
     async fn read(&mut self) -> std::io::Result<bool> {
         // A stopping sender closes connections only between requests, and awaits the rest of a partly read request.
@@ -367,34 +415,54 @@
         Ok(())
     }
 
-    /// Starts processing a command; returns its reply, or the channel on which the reply will arrive.
-    async fn start(&mut self, args: &[Bytes]) -> PendingReply {
+    /// Starts processing a command. `is_first` is whether no command of its group has been started.
+    async fn start(&mut self, args: &[Bytes], is_first: bool) -> Start {
         let name = args.first().map(|n| n.to_ascii_uppercase()).unwrap_or_default();
-        match name.as_slice() {
+        Start::Started(match name.as_slice() {
             b"PING" => PendingReply::Ping,
             b"MSG.PUT" => match decode_put(args) {
-                Ok(put) => self.submit(put).await,
+                Ok(put) if is_first => self.submit_when_possible(UnsubmittedPut::new(put)).await,
+                Ok(put) => return self.submit_if_possible(UnsubmittedPut::new(put)).await,
                 Err(e) => PendingReply::Text(format!("-ERR {e}\r\n")),
             },
             _ => PendingReply::Text("-ERR unknown command\r\n".into()),
+        })
+    }
+
+    /// Submits a message once the memory for messages without a reply has room for it.
+    /// The connection must have no message without a reply. Connections that kept the memory of their earlier messages
+    /// while they waited here would wait for each other for ever.
+    async fn submit_when_possible(&mut self, put: UnsubmittedPut) -> PendingReply {
+        let bodies = self.guard.table.bodies.clone();
+        // Acquiring does not fail: the semaphore is never closed.
+        match bodies.acquire_many_owned(put.counted_bytes()).await {
+            Ok(counted) => self.submit(put, counted).await,
+            Err(_) => PendingReply::busy(0),
+        }
+    }
+
+    /// Submits a message if the memory for messages without a reply has room for it now.
+    async fn submit_if_possible(&mut self, put: UnsubmittedPut) -> Start {
+        let bodies = self.guard.table.bodies.clone();
+        match bodies.try_acquire_many_owned(put.counted_bytes()) {
+            Ok(counted) => Start::Started(self.submit(put, counted).await),
+            Err(_) => Start::Deferred(put),
         }
     }
 
     /// Sends a message to the driver or to the owner of the message's destination.
-    async fn submit(&mut self, put: Put) -> PendingReply {
+    async fn submit(&mut self, put: UnsubmittedPut, counted: OwnedSemaphorePermit) -> PendingReply {
+        let put = put.into_put();
         let read_at = self.origin.clock();
         let route = self.origin.route(&put);
-        let bytes = (put.body.len() + PUT_OVERHEAD) as u32;
-        let bodies = self.guard.table.bodies.clone();
         let (reply, answer) = oneshot::channel();
-        // Acquiring and sending do not fail: the semaphore is never closed, and the driver ends only with the process.
-        let Ok(counted) = bodies.acquire_many_owned(bytes).await else { return PendingReply::busy(0) };
         match (route, &self.origin) {
             (Routing::Forward(to), Origin::Routed(_, forwarder)) => {
                 forwarder.start(put, to, read_at, reply);
                 PendingReply::Forwarded(answer, counted)
             }
             (Routing::Unowned, _) => PendingReply::busy(DEFAULT_WAIT_MS),
+            // Sending does not fail: the driver ends only with the process.
             _ => match self.driver.send(Input::Put(put, reply)).await {
                 Ok(()) => PendingReply::FromDriver(answer, counted),
                 Err(_) => PendingReply::busy(0),
@@ -502,6 +570,7 @@
             command_begun: now,
             ended: false,
             long_command: None,
+            deferred: None,
             driver,
             status,
             origin,
