A slow discovery is followed: polls stay open while they are repeated

Cause: a poll or a request for a watch without a response head after 0.6 s was given up and sent anew. The time limit did not grow, so a discovery that always needs longer was asked again and again and its answers were never received: slow and silent were taken for the same.

Change: the earlier requests stay open while further ones are sent, every 0.6 s, each on a connection of its own, at most four, for 2.4 s; the first response counts. A poll may take discovery 2 s; one that is lost in an outage is still followed by another after 0.6 s, so that a drain is known as soon as before after an outage. A watch that falls silent (3 s) and a poll that hangs (2.4 s) stay within the 6 s. Where polls cost discovery work they are sent once with 4 s, as before. The repetition stands in `repeated_request.rs`.

--- a/crates/sender/src/discovery.rs
+++ b/crates/sender/src/discovery.rs
@@ -8,6 +8,7 @@
 use crate::placement::Placement;
 use crate::placement::reader::ListReader;
 use crate::poll_schedule::PollSchedule;
+use crate::repeated_request::{RepeatPolicy, first_response};
 use bytes::Bytes;
 use embershore_protocol::listing::{Listing, ListingError, endpoints_started};
 use http_body_util::Full;
@@ -24,9 +25,17 @@
 /// A change that a silent watch misses must be applied within 6 s of the start of the silence.
 /// The stall timeout leaves time for one poll that hangs and another poll that is answered.
 const STALL_TIMEOUT: Duration = Duration::from_secs(3);
-/// Timeout for the head of discovery's response, which arrives without delay unless discovery is down.
-/// Drains that discovery reports after an outage must be applied without delay, so no poll may hang for long.
-const RESPONSE_TIMEOUT: Duration = Duration::from_millis(600);
+/// How polls are repeated until the head of discovery's response arrives.
+/// Discovery may take 2 s for a response, or lose a poll in an outage.
+/// Drains that discovery reports after an outage must be applied without delay, so a poll without a response is soon
+/// followed by another.
+const REPEAT_POLICY: RepeatPolicy = RepeatPolicy {
+    first_interval: Duration::from_millis(600),
+    growth: 1,
+    timeout: Duration::from_millis(2400),
+};
+/// Timeout for opening a connection where polls cost discovery work.
+const COSTLY_CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
 /// Timeout for the head of discovery's response where polls cost discovery work: discovery may queue a poll that long.
 const COSTLY_RESPONSE_TIMEOUT: Duration = Duration::from_secs(4);
 /// Time for reading a listing of which only the owned destinations are stored; the listing may be long.
@@ -199,29 +208,25 @@
 }
 
 impl ListStream {
-    /// Sends the request for a listing and checks the response's status.
-    async fn open(
-        connection: Connection,
-        path: &str,
-        costly: bool,
-        sink: &ListingSink,
-    ) -> io::Result<ListStream> {
-        let addr = connection.addr().to_string();
-        let request = Request::get(path).header("host", addr).body(Full::new(Bytes::new()));
-        let answer = connection.send(request.map_err(io::Error::other)?);
-        let response_timeout = if costly { COSTLY_RESPONSE_TIMEOUT } else { RESPONSE_TIMEOUT };
-        let response = tokio::time::timeout(response_timeout, answer)
-            .await
-            .map_err(timed_out)?
-            .map_err(io::Error::other)?;
-        let status = response.status;
-        if status != 200 {
-            let busy = (500..600).contains(&status) || status == 429;
-            let kind = if busy { io::ErrorKind::ResourceBusy } else { io::ErrorKind::Other };
-            return Err(io::Error::new(kind, format!("{path}: response status {status}, expected 200")));
-        }
+    /// Requests a listing and waits for the head of the response.
+    /// Where polls cost discovery work, the request is sent once.
+    async fn open(addr: SocketAddr, path: &str, costly: bool, sink: &ListingSink) -> io::Result<ListStream> {
+        let path: Rc<str> = path.into();
+        let answer = if costly {
+            let connection = tokio::time::timeout(COSTLY_CONNECT_TIMEOUT, Connection::open(addr));
+            let connection = connection.await.map_err(timed_out)??;
+            tokio::time::timeout(COSTLY_RESPONSE_TIMEOUT, request(connection, path))
+                .await
+                .map_err(timed_out)??
+        } else {
+            let send = || {
+                let path = path.clone();
+                async move { request(Connection::open(addr).await?, path).await }
+            };
+            first_response(REPEAT_POLICY, send).await?
+        };
         let listings = ListReader::new(sink.placement.as_ref());
-        Ok(ListStream { answer: response, listings, limit: sink.limit, last_progress: Instant::now() })
+        Ok(ListStream { answer, listings, limit: sink.limit, last_progress: Instant::now() })
     }
 
     /// Reads the next chunk of the response's body; None at the end of the body.
@@ -291,6 +296,20 @@
     }
 }
 
+/// Sends the request for a listing and checks the response's status.
+async fn request(connection: Connection, path: Rc<str>) -> io::Result<Answer> {
+    let addr = connection.addr().to_string();
+    let request = Request::get(&*path).header("host", addr).body(Full::new(Bytes::new()));
+    let answer = connection.send(request.map_err(io::Error::other)?).await.map_err(io::Error::other)?;
+    let status = answer.status;
+    if status != 200 {
+        let busy = (500..600).contains(&status) || status == 429;
+        let kind = if busy { io::ErrorKind::ResourceBusy } else { io::ErrorKind::Other };
+        return Err(io::Error::new(kind, format!("{path}: response status {status}, expected 200")));
+    }
+    Ok(answer)
+}
+
 fn invalid_data(error: ListingError) -> io::Error {
     io::Error::new(io::ErrorKind::InvalidData, error)
 }
@@ -309,14 +328,11 @@
     sink: &ListingSink,
     spread: Duration,
 ) -> io::Result<WatchStop> {
-    let open =
-        async || tokio::time::timeout(RESPONSE_TIMEOUT, Connection::open(addr)).await.map_err(timed_out)?;
     let since = match index.filter(|_| !sink.is_requested()) {
         Some(since) => since,
         None => {
             let requested = sink.requested();
-            let list =
-                ListStream::open(open().await?, "/v1/servers", costly, sink).await?.read_complete().await?;
+            let list = ListStream::open(addr, "/v1/servers", costly, sink).await?.read_complete().await?;
             let since = list.index;
             sink.apply(Listing { snapshot: true, ..list }).await?;
             sink.mark_read(requested);
@@ -325,7 +341,7 @@
         }
     };
     let path = format!("/v1/servers?follow=1&since={since}");
-    let mut stream = match ListStream::open(open().await?, &path, costly, sink).await {
+    let mut stream = match ListStream::open(addr, &path, costly, sink).await {
         Ok(stream) => stream,
         Err(e) => {
             // A listing version that discovery does not know must not be requested again and again.
--- a/crates/sender/src/lib.rs
+++ b/crates/sender/src/lib.rs
@@ -33,5 +33,6 @@
 mod poll_schedule;
 mod rehearse;
 mod reload_check;
+mod repeated_request;
 mod status;
 mod uninterrupted;
