A sender without a list ends what it has taken on, and answers requests

Messages are restored without a list, notices go out, deadlines are kept, and a new message is answered `-BUSY`. PING and /_ready say yes only with a list, as before.

--- a/crates/sender/src/driver.rs
+++ b/crates/sender/src/driver.rs
@@ -122,6 +122,8 @@
     unanswered_puts: BTreeMap<MsgId, UnansweredPut>,
     pending: HashMap<MsgId, PendingMessage>,
     recovered: RecoveredMessages,
+    /// Whether an endpoint list has been applied, without which nothing can be sent and no new message is accepted.
+    list_known: bool,
     /// The pending messages by request id.
     by_request: HashMap<String, MsgId>,
     /// The calls in flight, each with the channel that cancels it.
@@ -176,6 +178,7 @@
             unanswered_puts: BTreeMap::new(),
             pending: HashMap::new(),
             recovered: RecoveredMessages::default(),
+            list_known: false,
             by_request: HashMap::new(),
             calls_in_flight: HashMap::new(),
             next_call: 0,
@@ -192,7 +195,9 @@
         self.restore();
         early.into_iter().for_each(|input| self.handle_input(input));
         self.round();
-        _ = self.status.change(Change::Started);
+        if self.list_known {
+            _ = self.status.change(Change::Started);
+        }
         let mut last_round = self.clock.now();
         loop {
             let timer = self.timers.peek().map_or(Micros::MAX, |Reverse((at, _))| *at);
@@ -264,7 +269,17 @@
         }
     }
 
+    /// Passes a listing on to the dispatcher. With the first one, the start is complete.
     fn handle_listing(&mut self, index: u64, full: bool, entries: Vec<EndpointEntry>) {
+        self.record_listing(index, full, entries);
+        if !self.list_known {
+            self.list_known = true;
+            self.restore_health();
+            _ = self.status.change(Change::Started);
+        }
+    }
+
+    fn record_listing(&mut self, index: u64, full: bool, entries: Vec<EndpointEntry>) {
         let endpoints = self.endpoints.borrow();
         let line =
             |e: &EndpointEntry| Some((endpoints.get(e.endpoint)?.name.clone(), e.status == Status::Up));
@@ -343,7 +358,7 @@
 
     /// Whether an unknown destination may have endpoints in the endpoint list that have not been read yet.
     fn awaits_endpoints(&self) -> bool {
-        self.placement.as_ref().is_some_and(|placement| placement.awaits_endpoints())
+        !self.list_known || self.placement.as_ref().is_some_and(|placement| placement.awaits_endpoints())
     }
 
     /// Keeps the destination's endpoints in the table until the message ends, whichever sender owns the destination.
@@ -718,7 +733,11 @@
     }
 
     /// Records the changes in the health of endpoints and receivers in the journal.
+    /// Without an endpoint list the dispatcher knows no health yet, and the journal's must be kept.
     fn persist_health(&mut self) {
+        if !self.list_known {
+            return;
+        }
         let endpoints = self.endpoints.borrow();
         let (mut health, mut avoided) = (BTreeMap::new(), 0);
         for (id, h) in self.dispatcher.endpoint_health() {
--- a/crates/sender/src/driver/start.rs
+++ b/crates/sender/src/driver/start.rs
@@ -31,17 +31,18 @@
 }
 
 impl Driver {
-    /// Waits for an endpoint listing, without which nothing can be sent.
-    /// The configuration's listing may be old: it is used only if discovery sends no listing within `list_wait`.
+    /// Waits for an endpoint listing for at most `list_wait`.
+    /// The configuration's listing may be old: it is used only if discovery sends no listing in that time.
+    /// Without any listing the process starts all the same: the messages of an earlier process must end in time.
     /// Returns the inputs that arrived during the wait, which are to be handled after the restored messages.
-    /// Returns None if the stop signal was received during the wait for a listing.
+    /// Returns None if the stop signal was received during the wait.
     pub(super) async fn wait_for_list(
         &mut self,
         inbox: &mut mpsc::Receiver<Input>,
         known: InitialList,
     ) -> Option<Vec<Input>> {
         let deadline = tokio::time::Instant::now() + self.list_wait;
-        let listed = !matches!(known, InitialList::Missing);
+        self.list_known = !matches!(known, InitialList::Missing);
         if let InitialList::Applied(entries) = known {
             self.events.push(Event::Listing { complete: true, entries });
         } else if let InitialList::Configured(mut list) = known {
@@ -54,20 +55,18 @@
             self.events.push(Event::Listing { complete: true, entries });
         }
         let mut early = Vec::new();
-        loop {
-            let input = tokio::select! {
-                input = inbox.recv() => input,
-                _ = tokio::time::sleep_until(deadline), if listed => return Some(early),
-            };
+        while let Ok(input) = tokio::time::timeout_at(deadline, inbox.recv()).await {
             match input? {
                 Input::Stop => return None,
                 Input::EndpointsListed { index, full, entries } => {
-                    self.handle_listing(index, full, entries);
-                    return Some(early);
+                    self.list_known = true;
+                    self.record_listing(index, full, entries);
+                    break;
                 }
                 input => early.push(input),
             }
         }
+        Some(early)
     }
 
     /// Passes to the dispatcher the state that an earlier process left in the journal or the predecessor handed over.
@@ -78,7 +77,7 @@
             self.predecessor = Some(self.follow_predecessor(link, &calls.in_flight, &calls.call_of_message));
             calls
         });
-        if self.predecessor.is_none() {
+        if self.list_known {
             self.restore_health();
         }
         let messages = self.restore_messages(&calls);
@@ -121,8 +120,12 @@
         PredecessorCalls { in_flight, attempts, call_of_message }
     }
 
-    /// Restores the health of endpoints and receivers from the journal.
-    fn restore_health(&mut self) {
+    /// Restores the health of endpoints and receivers from the journal, unless the predecessor's state contains it.
+    /// The dispatcher must know the endpoint list, or be told of it before.
+    pub(super) fn restore_health(&mut self) {
+        if self.predecessor.is_some() {
+            return;
+        }
         let (journal, endpoints) = (self.journal.borrow(), self.endpoints.borrow());
         for (name, health) in journal.health() {
             if let Some(endpoint) = endpoints.number(name) {
@@ -135,6 +138,16 @@
     /// Restores the journal's messages: queues the notices of those that have ended, and returns the events of the others.
     fn restore_messages(&mut self, calls: &PredecessorCalls) -> Vec<Event> {
         let (journal, now) = (self.journal.clone(), self.clock.now());
+        let (endpoints, list_known) = (self.endpoints.clone(), self.list_known);
+        // An endpoint that has left the endpoint list has no number; an unused number stands for that endpoint.
+        // Without a list, the endpoint gets the number that it will have if a list contains it.
+        let mut number = |name: &str| {
+            let listed = endpoints.borrow().number(name);
+            match listed {
+                None if list_known => EndpointId(u32::MAX),
+                _ => listed.unwrap_or_else(|| endpoints.borrow_mut().reserve_number(name)),
+            }
+        };
         let mut restored = Vec::new();
         for (id, entry) in journal.borrow().entries() {
             let (message, progress) = (&entry.accepted, &entry.progress);
@@ -153,11 +166,7 @@
             let id = MsgId(id);
             let attempts = calls.attempts.get(&id).copied().unwrap_or(progress.attempts);
             let call = calls.call_of_message.get(&id).copied();
-            let endpoints = self.endpoints.borrow();
-            // An endpoint that has left the endpoint list has no number; an unused number stands for that endpoint.
-            let number = |name: &str| endpoints.number(name).unwrap_or(EndpointId(u32::MAX));
-            restored.push(restored_message(id, entry, row, attempts, call.is_some(), number));
-            drop(endpoints);
+            restored.push(restored_message(id, entry, row, attempts, call.is_some(), &mut number));
             if progress.first_possible_run().is_none() {
                 self.recovered.add(id, message.deadline, progress.attempts, now);
             }
@@ -202,7 +211,7 @@
     class: usize,
     attempts: u32,
     has_call: bool,
-    number: impl Fn(&str) -> EndpointId,
+    mut number: impl FnMut(&str) -> EndpointId,
 ) -> Event {
     let (message, progress) = (&entry.accepted, &entry.progress);
     // If an attempt in flight has not begun, its outcome is still to be received from the predecessor.
--- a/crates/sender/src/endpoint_table.rs
+++ b/crates/sender/src/endpoint_table.rs
@@ -62,6 +62,14 @@
         self.numbers.get(name).copied()
     }
 
+    /// Returns a new number, which the endpoint named `name` has if the next listing contains it.
+    pub fn reserve_number(&mut self, name: &str) -> EndpointId {
+        self.last_number += 1;
+        let number = EndpointId(self.last_number);
+        self.numbers.insert(name.to_string(), number);
+        number
+    }
+
     /// Returns the number of endpoints in the endpoint list, with whatever status.
     pub fn listed(&self) -> usize {
         self.endpoints.values().filter(|e| e.listed()).count()
@@ -131,10 +139,7 @@
         };
         let index = |names: &[String], name: &str| names.iter().position(|n| n == name).unwrap_or(usize::MAX);
         let (kind, zone) = (index(&self.names.kinds, &line.kind), index(&self.names.zones, &line.zone));
-        let id = *self.numbers.entry(line.name.clone()).or_insert_with(|| {
-            self.last_number += 1;
-            EndpointId(self.last_number)
-        });
+        let id = self.number(&line.name).unwrap_or_else(|| self.reserve_number(&line.name));
         let dest = DestId(line.group);
         let gone_since = (status == Status::Removed).then_some(now);
         let (name, addr, ready) = (line.name.clone(), line.address.parse().ok(), status == Status::Up);
