--- a/crates/sender/src/daemon.rs
+++ b/crates/sender/src/daemon.rs
@@ -429,10 +429,13 @@
         Startup::InheritedSocket(socket) => {
             // Start-up steps that need no journal come first, to shorten the time in which no process serves.
             let begun = tokio::time::Instant::now();
-            while inbox.is_empty() && begun.elapsed() < list_wait {
-                tokio::time::sleep(LIST_POLL_INTERVAL).await;
-            }
-            let taken = handover::take_over(&state, &status).await;
+            let needs_list = matches!(known, InitialList::Missing);
+            let list_known = async {
+                while inbox.is_empty() && (needs_list || begun.elapsed() < list_wait) {
+                    tokio::time::sleep(LIST_POLL_INTERVAL).await;
+                }
+            };
+            let taken = handover::take_over(&state, &status, list_known).await;
             let taken = taken.map_err(|e| format!("acquiring the lock in {}: {e}", state.display()))?;
             let Some(handover::Acquired { lock, predecessor }) = taken else { return Ok(()) };
             let journal = open_journal()?;
--- a/crates/sender/src/handover.rs
+++ b/crates/sender/src/handover.rs
@@ -6,6 +6,7 @@
     Decoder, Frame, Owner, OwnerAction, OwnerEvent, State, Successor, SuccessorAction, SuccessorEvent, encode,
 };
 use std::fs::{File, OpenOptions, TryLockError};
+use std::future::Future;
 use std::io;
 use std::os::fd::AsRawFd;
 use std::path::{Path, PathBuf};
@@ -70,6 +71,14 @@
         try_lock(&self.file)
     }
 
+    /// Waits until this process has acquired the lock. Only a successor whose turn it is may acquire the lock.
+    async fn acquire(&self) -> io::Result<()> {
+        while !self.try_acquire()? {
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+        Ok(())
+    }
+
     /// Waits until no other successor requests the journal. This successor's turn ends at [`Lock::end_turn`] or exit.
     async fn wait_for_turn(&self) -> io::Result<()> {
         while !try_lock(&self.turn)? {
@@ -257,7 +266,13 @@
 }
 
 /// Waits until this process owns the journal. Returns None if the process receives the stop signal first.
-pub async fn take_over(folder: &Path, status: &SharedStatus) -> io::Result<Option<Acquired>> {
+/// While a predecessor serves, the journal is requested only after `list_known`: without an endpoint list this process
+/// could deliver nothing, and the predecessor has a list. If the predecessor leaves, the journal is taken at once.
+pub async fn take_over(
+    folder: &Path,
+    status: &SharedStatus,
+    list_known: impl Future<Output = ()>,
+) -> io::Result<Option<Acquired>> {
     let lock = Lock::new(Folder::open(folder)?)?;
     let mut follow = status.subscribe();
     let work = async {
@@ -273,7 +288,11 @@
         tokio::select! {
             predecessor = async {
                 lock.wait_for_turn().await?;
-                let predecessor = become_owner(&lock).await?;
+                let predecessor = tokio::select! {
+                    biased;
+                    () = list_known => become_owner(&lock).await?,
+                    acquired = lock.acquire() => acquired.map(|()| None)?,
+                };
                 lock.end_turn().map(|()| predecessor)
             } => predecessor,
             () = owner_timeout => Ok(None),
--- a/crates/sender/tests/common/mod.rs
+++ b/crates/sender/tests/common/mod.rs
@@ -2,6 +2,9 @@
 
 #![allow(dead_code)] // each test file uses a part
 
+pub mod shared_socket;
+pub mod silent_discovery;
+
 use serde_json::{Value, json};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
--- a/crates/sender/tests/handover.rs
+++ b/crates/sender/tests/handover.rs
@@ -3,10 +3,10 @@
 //! Guards against messages that are sent twice because both processes consider themselves their owner.
 
 mod common;
+use common::shared_socket::SharedSocket;
+use common::silent_discovery::SilentDiscovery;
 use common::*;
 use std::collections::HashSet;
-use std::os::fd::AsRawFd;
-use std::process::{Child, Command};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -15,89 +15,6 @@
 const SYNC: &str = "c=sync,d=15000,dest=3";
 const PAY: &str = "c=pay,d=15000,dest=3";
 
-/// Processes of one sender that share a listening socket, which the test keeps open.
-/// The platform keeps the listening socket open when it replaces a process.
-struct SharedSocket {
-    listener: std::net::TcpListener,
-    addr: std::net::SocketAddr,
-    folder: tempfile::TempDir,
-    /// Loopback address of the processes' management interfaces.
-    own: std::net::Ipv4Addr,
-    /// Running sender processes, with the addresses of their management interfaces.
-    running: Vec<(Child, std::net::SocketAddr)>,
-}
-
-impl SharedSocket {
-    fn new(platform: &Platform) -> Self {
-        Self::with(platform, |_| {})
-    }
-
-    /// Creates the processes' configuration as edited by `change`.
-    fn with(platform: &Platform, change: impl Fn(&mut serde_json::Value)) -> Self {
-        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-        let addr = listener.local_addr().unwrap();
-        let folder = tempfile::tempdir().unwrap();
-        std::fs::create_dir(folder.path().join("state")).unwrap();
-        let mut config = config(addr, platform, 1024);
-        // 400 open messages are enough for all messages that a test puts simultaneously.
-        // With a lower limit, some messages would be returned for lack of room on a slow machine.
-        config["settings"]["Limits"]["MaxOpen"] = 400.into();
-        change(&mut config);
-        std::fs::write(folder.path().join("config.json"), config.to_string()).unwrap();
-        SharedSocket { listener, addr, folder, own: own_loopback(), running: Vec::new() }
-    }
-
-    /// Starts a process next to the running processes and returns the number of the new process.
-    fn start(&mut self) -> usize {
-        let mgmt = reserve_address(self.own);
-        // The duplicate of the listening socket stays open across exec; the listener itself does not.
-        let inherit = rustix::io::dup(&self.listener).unwrap();
-        let child = Command::new(env!("CARGO_BIN_EXE_embershore"))
-            .env("LB_CONFIG", self.folder.path().join("config.json"))
-            .env("LB_STATE", self.folder.path().join("state"))
-            .env("LB_MGMT", mgmt.to_string())
-            .env("LB_SOCKET_FD", inherit.as_raw_fd().to_string())
-            .spawn()
-            .unwrap();
-        self.running.push((child, mgmt));
-        self.running.len() - 1
-    }
-
-    fn ready(&self, n: usize) -> bool {
-        mgmt_request(self.running[n].1, "GET /_ready").is_some_and(|(status, _)| status == 200)
-    }
-
-    fn wait_ready(&self, n: usize) {
-        wait_until("the process to be ready", || self.ready(n));
-    }
-
-    fn client(&self) -> Client {
-        Client::new(self.addr)
-    }
-
-    fn signal(&self, n: usize, name: &str) {
-        signal(&self.running[n].0, name);
-    }
-
-    fn wait_exit(&mut self, n: usize) -> std::process::ExitStatus {
-        let mut status = None;
-        wait_until("the process to end", || {
-            status = self.running[n].0.try_wait().unwrap();
-            status.is_some()
-        });
-        status.unwrap()
-    }
-}
-
-impl Drop for SharedSocket {
-    fn drop(&mut self) {
-        for (child, _) in &mut self.running {
-            _ = child.kill();
-            _ = child.wait();
-        }
-    }
-}
-
 fn start_first(
     script: impl Fn(&Request) -> StubResponse + Send + Sync + 'static,
 ) -> (Endpoint, Platform, SharedSocket) {
@@ -534,3 +451,49 @@
     assert!(platform.notices().len() < accepted.len() / 4);
     assert_eq!(*failed_puts.lock().unwrap(), 0, "puts that ended without +OK or -BUSY on two connections");
 }
+
+/// Starts a first process, which has discovery's list, and then a second one while discovery is silent.
+/// Neither has a list in its configuration.
+fn second_process_without_a_list(discovery: &SilentDiscovery) -> SharedSocket {
+    let mut processes = SharedSocket::with(&Platform::new(Vec::new()), |c| {
+        c["discovery"] = discovery.platform.addr.to_string().into();
+        c["known"] = serde_json::Value::Null;
+    });
+    processes.start();
+    processes.wait_ready(0);
+    discovery.set_silent(true);
+    processes.start();
+    // Longer than a starting process waits for a list before it uses the configured one.
+    thread::sleep(Duration::from_millis(1500));
+    processes
+}
+
+// The new process took the journal without a list, and nothing was delivered or answered until discovery was back.
+#[test]
+fn a_process_without_a_list_leaves_the_journal_to_one_that_has_a_list() {
+    let endpoint = Endpoint::new(|_| status(200));
+    let discovery = SilentDiscovery::new(vec![listed_endpoint("s-1", endpoint.addr, "one", 3, "Ready")]);
+    let processes = second_process_without_a_list(&discovery);
+    assert_eq!(processes.client().put("a1", PAY), "+OK");
+    endpoint.wait_sent("a1");
+    assert!(processes.ready(0) && !processes.ready(1));
+    discovery.set_silent(false);
+    processes.wait_ready(1);
+    wait_until("an accepted put", || processes.client().put("a2", PAY) == "+OK");
+    endpoint.wait_sent("a2");
+}
+
+// The first process is ended although the new one has no list: what it had accepted must end in time all the same.
+#[test]
+fn a_process_without_a_list_takes_the_journal_when_the_one_before_it_ends() {
+    let discovery = SilentDiscovery::new(vec![placeholder(3)]);
+    let mut processes = second_process_without_a_list(&discovery);
+    let deadline = Instant::now() + Duration::from_millis(5000);
+    assert_eq!(processes.client().put("a1", "c=pay,d=5000,dest=3"), "+OK");
+    processes.signal(0, "-KILL");
+    processes.wait_exit(0);
+    wait_until("a refusal", || processes.client().put("a2", PAY).starts_with("-BUSY"));
+    wait_until("an end", || discovery.notice_time("a1").is_some());
+    let late = discovery.notice_time("a1").unwrap().saturating_duration_since(deadline);
+    assert!(late < Duration::from_millis(500), "ended {late:?} after its deadline");
+}
