All drains outlast a restart, or the configured list waits for discovery

Change: the count follows from the folder: an eighth of its limit, at 96 bytes each as in the estimate of a compaction (3,906 with 3 MB; 58% of 3,200 endpoints are 1,856). If there are more, the oldest are dropped, and the version of the latest dropped one is kept. A configured list before that version may name endpoints whose drain is no longer recorded; none of its endpoints is called until discovery has listed it, and the log says so.

--- a/crates/sender/src/driver/start.rs
+++ b/crates/sender/src/driver/start.rs
@@ -46,11 +46,7 @@
         if let InitialList::Applied(entries) = known {
             self.events.push(Event::Listing { complete: true, entries });
         } else if let InitialList::Configured(mut list) = known {
-            let (journal, index) = (self.journal.borrow(), list.index);
-            for line in list.endpoints.iter_mut().filter(|l| journal.not_ready_since(&l.name, index)) {
-                line.status = "Terminating".into();
-            }
-            drop(journal);
+            apply_recorded_drains(&mut list, &self.journal.borrow());
             let entries = self.endpoints.borrow_mut().apply(&Listing { snapshot: true, ..list });
             self.events.push(Event::Listing { complete: true, entries });
         }
@@ -202,6 +198,22 @@
     call_of_message: HashMap<MsgId, u64>,
 }
 
+/// Marks the endpoints of the configuration's list that were told to drain after the list was made.
+/// If the journal has dropped such drains, any endpoint may be one of them: none is used until discovery lists it.
+fn apply_recorded_drains(list: &mut Listing, journal: &Journal) {
+    let index = list.index;
+    let all = journal.has_forgotten_drains_since(index);
+    if all {
+        eprintln!(
+            "journal: drains later than the configuration's list of version {index} have been dropped for lack of \
+             room; its endpoints are used once discovery lists them"
+        );
+    }
+    for line in list.endpoints.iter_mut().filter(|l| all || journal.not_ready_since(&l.name, index)) {
+        line.status = "Terminating".into();
+    }
+}
+
 /// Returns the event that restores a message of the journal.
 /// `attempts` counts the attempts that the earlier process made, of which the journal records those that have begun.
 /// `has_call` is whether a running predecessor has a call in flight that carries the message.
--- a/crates/sender/src/journal.rs
+++ b/crates/sender/src/journal.rs
@@ -28,8 +28,12 @@
 const MAX_RULES_BYTES: u64 = 96;
 /// Name in the journal for the endpoint of another sender's attempt, which no endpoint has.
 const UNKNOWN_ENDPOINT: &str = "";
-/// Maximum number of draining or gone endpoints that the journal records.
-const MAX_NOT_READY: usize = 500;
+/// Name under which the journal records the version up to which drains have been forgotten. No endpoint has it.
+const FORGOTTEN_DRAINS: &str = "";
+/// Fraction of the size limit that the records of draining and gone endpoints may take.
+const NOT_READY_SHARE: f64 = 1.0 / 8.0;
+/// Allowance for the record of a name, with its health or the version of its drain, in bytes.
+const NAME_BYTES: u64 = 96;
 
 /// A message as the client submitted it. Times are microseconds of the sender's clock.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -230,6 +234,8 @@
     clock: Option<ClockAnchor>,
     /// Endpoints that are draining or gone, each with the version of the endpoint list that says so.
     not_ready: BTreeMap<String, u64>,
+    /// The latest version of a drain that was dropped from `not_ready`; 0 if none was.
+    forgotten_drains: u64,
     /// Class rules by number. Compaction drops rules that no message refers to.
     rules: BTreeMap<u32, Rules>,
     live_bytes: u64,
@@ -289,6 +295,7 @@
             receivers_recorded: false,
             clock: None,
             not_ready: BTreeMap::new(),
+            forgotten_drains: 0,
             rules: BTreeMap::new(),
             live_bytes,
             next_number,
@@ -355,6 +362,9 @@
             Record::ReceiverHealth(receiver, None) => _ = self.receivers.remove(&receiver),
             Record::ReceiversRecorded => self.receivers_recorded = true,
             Record::ClockStarted(anchor) => self.clock = Some(anchor),
+            Record::EndpointListed(name, Some(index)) if name == FORGOTTEN_DRAINS => {
+                self.forgotten_drains = self.forgotten_drains.max(index);
+            }
             Record::EndpointListed(name, Some(index)) => _ = self.not_ready.insert(name, index),
             Record::EndpointListed(name, None) => _ = self.not_ready.remove(&name),
         }
@@ -375,9 +385,9 @@
 
     /// Estimates the compacted journal's size, with a flat allowance for attempts and health records, which are small.
     fn compacted_len(&self) -> u64 {
-        // The records of the clock and of `ReceiversRecorded` stand once.
-        let names = self.health.len() + self.not_ready.len() + self.receivers.len() + 2;
-        self.live_bytes + 160 * self.entries.len() as u64 + 96 * (names + self.rules.len()) as u64
+        // The records of the clock, of `ReceiversRecorded` and of the forgotten drains stand once.
+        let names = self.health.len() + self.not_ready.len() + self.receivers.len() + 3;
+        self.live_bytes + 160 * self.entries.len() as u64 + NAME_BYTES * (names + self.rules.len()) as u64
     }
 
     /// Appends a record if the file and its compacted copy together stay below the size limit.
@@ -463,8 +473,10 @@
         if self.receivers_recorded {
             bytes.extend_from_slice(&encode(&Record::ReceiversRecorded)?);
         }
-        for (name, index) in &self.not_ready {
-            bytes.extend_from_slice(&encode(&Record::EndpointListed(name.clone(), Some(*index)))?);
+        let forgotten = (self.forgotten_drains > 0).then_some((FORGOTTEN_DRAINS, self.forgotten_drains));
+        let not_ready = self.not_ready.iter().map(|(name, index)| (name.as_str(), *index));
+        for (name, index) in not_ready.chain(forgotten) {
+            bytes.extend_from_slice(&encode(&Record::EndpointListed(name.to_string(), Some(index)))?);
         }
         if self.len + bytes.len() as u64 > self.limit {
             return Ok(());
@@ -615,24 +627,34 @@
     /// Records which endpoints are draining or gone. A restarted sender may be configured with an older endpoint list.
     /// A restarted sender must not send to draining or gone endpoints while discovery does not answer.
     pub fn record_endpoints_listed(&mut self, index: u64, lines: &[(String, bool)]) -> io::Result<()> {
-        let mut changes: Vec<(String, Option<u64>)> = Vec::new();
-        for (name, ready) in lines {
-            match self.not_ready.get(name) {
-                None if !ready => changes.push((name.clone(), Some(index))),
-                Some(_) if *ready => changes.push((name.clone(), None)),
-                _ => {}
-            }
+        for (name, ready) in lines.iter().filter(|(name, _)| name != FORGOTTEN_DRAINS) {
+            let change = match self.not_ready.get(name) {
+                None if !ready => Some(index),
+                Some(_) if *ready => None,
+                _ => continue,
+            };
+            self.append(Record::EndpointListed(name.clone(), change), 0)?;
+        }
+        self.forget_oldest_drains()
+    }
+
+    /// Drops the oldest records of draining or gone endpoints if they take too much room.
+    /// The version of the latest dropped one is kept: an endpoint list before it may name endpoints that were told to
+    /// drain and are recorded no more.
+    fn forget_oldest_drains(&mut self) -> io::Result<()> {
+        let max_not_ready = (self.limit as f64 * NOT_READY_SHARE) as usize / NAME_BYTES as usize;
+        let surplus = self.not_ready.len().saturating_sub(max_not_ready);
+        if surplus == 0 {
+            return Ok(());
         }
-        // Drops the oldest entries of draining or gone endpoints.
-        // A configured endpoint list is too recent to contain these endpoints.
-        let surplus = self.not_ready.len().saturating_sub(MAX_NOT_READY);
         let mut by_age: Vec<(u64, String)> = self.not_ready.iter().map(|(n, i)| (*i, n.clone())).collect();
         by_age.sort();
-        changes.extend(by_age.into_iter().take(surplus).map(|(_, name)| (name, None)));
-        for (name, index) in changes {
-            self.append(Record::EndpointListed(name, index), 0)?;
+        by_age.truncate(surplus);
+        let Some((latest, _)) = by_age.last() else { return Ok(()) };
+        if *latest > self.forgotten_drains {
+            self.append(Record::EndpointListed(FORGOTTEN_DRAINS.to_string(), Some(*latest)), 0)?;
         }
-        Ok(())
+        by_age.into_iter().try_for_each(|(_, name)| self.append(Record::EndpointListed(name, None), 0))
     }
 
     /// Whether an endpoint list of a later version than `index` says that the endpoint is draining or gone.
@@ -640,6 +662,12 @@
         self.not_ready.get(name).is_some_and(|version| *version > index)
     }
 
+    /// Whether drains later than the endpoint list of version `index` have been dropped for lack of room.
+    /// Any endpoint of that list may then be draining or gone.
+    pub fn has_forgotten_drains_since(&self, index: u64) -> bool {
+        self.forgotten_drains > index
+    }
+
     /// Returns the endpoints' health as the journal records it, by endpoint name.
     pub fn health(&self) -> impl Iterator<Item = (&str, EndpointHealth)> {
         self.health.iter().map(|(name, condition)| {
