A request that comes again after its message has ended is not called again

Cause: ids were known only while their messages were open. The call's own end is the first moment at which a repeat is harmful.

A returned one never ran and is called. At a quarter of the folder's limit further messages of such classes are refused: an older id is never dropped for a new one. A compaction writes a request as a message without its body that is over, in records that earlier versions read too. An answer that says that the message never ran (410) is recorded as such.

--- a/crates/sender/src/driver.rs
+++ b/crates/sender/src/driver.rs
@@ -307,6 +307,11 @@
             _ = reply.send(if written { Reply::Accepted } else { Reply::Busy { retry_after_ms: 0 } });
             return;
         }
+        if let Some(end) = self.journal.borrow().end_of_request(&put.request_id) {
+            // The client has sent the request of an ended message again. Another call could take effect twice.
+            _ = reply.send(if end == End::Closed { Reply::Accepted } else { Reply::Failed });
+            return;
+        }
         if self.pending.len() >= self.max_open
             || self.status.get().refuses_messages(std::time::Instant::now())
         {
@@ -411,6 +416,9 @@
                     {
                         self.metrics.count(&entry.accepted.class, MessageEnd::Delivered);
                     }
+                    if outcome.never_ran() {
+                        self.write_journal(|j| j.record_attempt_settled(id.0, false));
+                    }
                     self.close_message(id);
                 } else {
                     self.write_journal(|j| j.record_attempt_settled(id.0, !outcome.never_ran()));
@@ -467,6 +475,7 @@
     /// Runs one round of the dispatcher with the queued events and executes the dispatcher's actions.
     fn round(&mut self) {
         let now = self.clock.now();
+        self.journal.borrow_mut().forget_expired_requests(now);
         self.retry_unrecorded_ends(now);
         while let Some(Reverse((_, token))) = self.timers.peek().copied().filter(|t| t.0.0 <= now) {
             self.timers.pop();
--- a/crates/sender/src/journal.rs
+++ b/crates/sender/src/journal.rs
@@ -7,6 +7,7 @@
 //! The next process of this sender replays the records and rebuilds an equal [`Journal`].
 
 use crate::clock::ClockAnchor;
+use crate::ended_requests::{EndedRequest, EndedRequests};
 use bytes::Bytes;
 use embershore_protocol::notice::End;
 use heronroute::{ClassSettings, DedupScope, Effect, EndpointHealth, Micros, ReceiverHealth};
@@ -32,6 +33,8 @@
 const FORGOTTEN_DRAINS: &str = "";
 /// Fraction of the size limit that the records of draining and gone endpoints may take.
 const NOT_READY_SHARE: f64 = 1.0 / 8.0;
+/// Fraction of the size limit that the requests of ended messages may take.
+const ENDED_REQUESTS_SHARE: f64 = 1.0 / 4.0;
 /// Allowance for the record of a name, with its health or the version of its drain, in bytes.
 const NAME_BYTES: u64 = 96;
 
@@ -236,6 +239,8 @@
     not_ready: BTreeMap<String, u64>,
     /// The latest version of a drain that was dropped from `not_ready`; 0 if none was.
     forgotten_drains: u64,
+    /// The requests of ended messages that must not take effect again.
+    ended_requests: EndedRequests,
     /// Class rules by number. Compaction drops rules that no message refers to.
     rules: BTreeMap<u32, Rules>,
     live_bytes: u64,
@@ -266,6 +271,28 @@
     Some((postcard::from_bytes(payload).ok()?, HEADER_BYTES + len))
 }
 
+/// Appends the records of an ended request: its message without the body, the message's end, and that its notice needs
+/// no further confirmation. A version of the program that does not know ended requests reads a message that is over.
+fn encode_ended_request(request_id: &str, request: &EndedRequest, bytes: &mut Vec<u8>) -> io::Result<()> {
+    let EndedRequest { number, class, rules, deadline, end, .. } = request;
+    let accepted = Accepted {
+        request_id: request_id.to_string(),
+        class: class.clone(),
+        order_key: String::new(),
+        idempotency_key: None,
+        dest: 0,
+        deadline: *deadline,
+        body: Bytes::new(),
+    };
+    let may_have_run = Some((UNKNOWN_ENDPOINT.to_string(), *deadline));
+    let progress = Progress { attempts: 1, may_have_run, ..Progress::default() };
+    let message = Record::MessageUnderRules(*rules, *number, accepted, progress);
+    for record in [message, Record::Ended(*number, *end), Record::NoticesConfirmed(vec![*number])] {
+        bytes.extend_from_slice(&encode(&record)?);
+    }
+    Ok(())
+}
+
 fn remove_if_present(path: &Path) -> io::Result<()> {
     match fs::remove_file(path) {
         Err(e) if e.kind() != io::ErrorKind::NotFound => Err(e),
@@ -296,6 +323,7 @@
             clock: None,
             not_ready: BTreeMap::new(),
             forgotten_drains: 0,
+            ended_requests: EndedRequests::default(),
             rules: BTreeMap::new(),
             live_bytes,
             next_number,
@@ -344,8 +372,12 @@
                     progress.may_have_run = progress.may_have_run.take().or(in_flight);
                 }
             }
-            Record::Ended(id, End::Closed) => self.remove_entry(id),
+            Record::Ended(id, End::Closed) => {
+                self.remember_end(id, End::Closed);
+                self.remove_entry(id);
+            }
             Record::Ended(id, end) => {
+                self.remember_end(id, end);
                 if let Some(entry) = self.entries.get_mut(&id) {
                     entry.progress.end = Some(end);
                     let body = std::mem::take(&mut entry.accepted.body).len() as u64;
@@ -374,7 +406,39 @@
         self.next_number = self.next_number.max(id + 1);
         self.remove_entry(id);
         self.live_bytes += size;
+        let end = progress.end;
         self.entries.insert(id, Entry { accepted, progress, rules, size });
+        if let Some(end) = end {
+            self.remember_end(id, end);
+        }
+    }
+
+    /// Remembers the request of a message that ends, if the message must not take effect again and may have done so.
+    /// A message that is returned never took effect: its request may be sent again under the same id.
+    fn remember_end(&mut self, id: u64, end: End) {
+        let Some(entry) = self.entries.get(&id) else { return };
+        let (accepted, progress) = (&entry.accepted, &entry.progress);
+        let Some((number, rules)) = entry.rules.and_then(|n| Some((n, self.rules.get(&n)?))) else { return };
+        let is_safe = ClassSettings::from(rules).effect == Effect::Safe;
+        let returned = matches!(end, End::Returned { .. });
+        if is_safe || returned || progress.first_possible_run().is_none() {
+            return;
+        }
+        let (class, deadline) = (accepted.class.clone(), accepted.deadline);
+        // A request is valid within its class's time, which began before the message's deadline.
+        let expires_at = deadline + rules.deadline;
+        let request = EndedRequest { number: id, class, rules: number, deadline, expires_at, end };
+        self.ended_requests.insert(&accepted.request_id, request);
+    }
+
+    /// Returns how the message of a request has ended, if the request must not take effect again.
+    pub fn end_of_request(&self, request_id: &str) -> Option<End> {
+        self.ended_requests.end_of(request_id)
+    }
+
+    /// Drops the requests of ended messages that clients can't send again at `now` any more.
+    pub fn forget_expired_requests(&mut self, now: Micros) {
+        self.ended_requests.forget_expired(now);
     }
 
     fn remove_entry(&mut self, id: u64) {
@@ -387,7 +451,8 @@
     fn compacted_len(&self) -> u64 {
         // The records of the clock, of `ReceiversRecorded` and of the forgotten drains stand once.
         let names = self.health.len() + self.not_ready.len() + self.receivers.len() + 3;
-        self.live_bytes + 160 * self.entries.len() as u64 + NAME_BYTES * (names + self.rules.len()) as u64
+        let entries = self.live_bytes + 160 * self.entries.len() as u64;
+        entries + self.ended_requests.bytes() + NAME_BYTES * (names + self.rules.len()) as u64
     }
 
     /// Appends a record if the file and its compacted copy together stay below the size limit.
@@ -450,12 +515,19 @@
         if let Some(anchor) = &self.clock {
             bytes.extend_from_slice(&encode(&Record::ClockStarted(anchor.clone()))?);
         }
-        let used: BTreeSet<u32> = self.entries.values().filter_map(|e| e.rules).collect();
+        let of_ended = self.ended_requests.iter().map(|(_, request)| request.rules);
+        let used: BTreeSet<u32> = self.entries.values().filter_map(|e| e.rules).chain(of_ended).collect();
         for (number, rules) in self.rules.iter().filter(|(number, _)| used.contains(number)) {
             bytes.extend_from_slice(&encode(&Record::Rules(*number, rules.clone()))?);
         }
         // A message whose end `Closed` could not be written is left out: that is its end's record.
         let is_open = |entry: &&Entry| entry.progress.end != Some(End::Closed);
+        for (request_id, request) in self.ended_requests.iter() {
+            // A message whose notice is not confirmed stands below with its end.
+            if !self.entries.get(&request.number).is_some_and(|entry| is_open(&entry)) {
+                encode_ended_request(request_id, request, &mut bytes)?;
+            }
+        }
         for (id, entry) in self.entries.iter().filter(|(_, entry)| is_open(entry)) {
             let (accepted, progress) = (entry.accepted.clone(), entry.progress.clone());
             let frame = encode(&match entry.rules {
@@ -507,6 +579,12 @@
         class: &ClassSettings,
     ) -> io::Result<()> {
         let reserve = (self.limit as f64 * OUTCOME_RESERVE) as u64;
+        let max_ended_bytes = (self.limit as f64 * ENDED_REQUESTS_SHARE) as u64;
+        if class.effect != Effect::Safe && self.ended_requests.bytes() >= max_ended_bytes {
+            // An older request that was forgotten for this one could take effect twice.
+            let text = "no room for the requests of further messages that must not take effect twice";
+            return Err(io::Error::new(io::ErrorKind::StorageFull, text));
+        }
         let rules = Rules::from(class);
         let known = self.rules.iter().find(|(_, r)| **r == rules).map(|(number, _)| *number);
         let number = known.unwrap_or_else(|| self.rules.keys().next_back().map_or(0, |last| last + 1));
@@ -580,10 +658,9 @@
             return Ok(());
         }
         let written = self.append(Record::Ended(id, end), 0);
-        if written.is_err()
-            && let Some(entry) = self.entries.get_mut(&id)
-        {
-            entry.progress.end = Some(end);
+        if written.is_err() {
+            self.remember_end(id, end);
+            self.entries.entry(id).and_modify(|entry| entry.progress.end = Some(end));
         }
         written
     }
--- a/crates/sender/src/lib.rs
+++ b/crates/sender/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod daemon;
 mod discovery;
 mod driver;
+mod ended_requests;
 mod endpoint_table;
 mod handover;
 mod inherited_socket;
