Requests of a client that has left are not taken on any more

What callers saw: a client wrote much at once and left with most of it unread; its requests were sent on afterwards (97 or 98 of 400 for each of 8 clients in a trial, the last call 0.17 s after a client had left, 0.63 s with 200 larger ones), while the client could hand the same messages in again.

Cause: that a client has closed was seen only as the end of its input. While replies were awaited, reading stopped at 8 KiB, so a close behind more input was not seen, and the next group of commands was started without a look at it.

Change: the readiness of the socket tells that the peer has closed its sending side, whatever input stands before that. It is looked at before each message is handed to the driver, and awaited beside a reply when there is no room to read. From then on messages are withdrawn or refused. Whether the client still reads is not known then (a closed connection shows itself by a reset only once it is written to), so each request is answered: `-BUSY` is harmless in both cases, as for messages without a reply before. What was answered `+OK` stays owed.

--- a/crates/sender/src/clients.rs
+++ b/crates/sender/src/clients.rs
@@ -16,7 +16,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, mpsc, oneshot, watch};
 use tokio::task::AbortHandle;
@@ -277,8 +277,10 @@
     buf: BytesMut,
     /// When the first byte of the command at the start of `buf` was read.
     command_begun: Instant,
-    /// Whether the client has closed its sending side. The client may still read.
+    /// Whether the input has ended: the client has closed its sending side. The client may still read.
     ended: bool,
+    /// Whether the client is known to have closed its sending side, possibly behind input that has not been read yet.
+    leaving: bool,
     /// The permit for a buffer larger than [`USUAL_COMMAND_BYTES`].
     long_command: Option<OwnedSemaphorePermit>,
     /// A message that was read and could not be started with the messages before it.
@@ -451,7 +453,13 @@
     }
 
     /// Sends a message to the driver or to the owner of the message's destination.
+    /// A message of a client that has closed its sending side is refused, which is harmless if the client still reads.
+    /// If the client has left, it may submit the message again, and the message would take effect twice.
     async fn submit(&mut self, put: UnsubmittedPut, counted: OwnedSemaphorePermit) -> PendingReply {
+        self.leaving = self.leaving || sending_is_closed(&self.socket.0).await;
+        if self.leaving {
+            return PendingReply::busy(0);
+        }
         let put = put.into_put();
         let read_at = self.origin.clock();
         let route = self.origin.route(&put);
@@ -486,21 +494,30 @@
             PendingReply::FromDriver(answer, counted) => (answer, counted, false),
             PendingReply::Forwarded(answer, counted) => (answer, counted, true),
         };
-        while !self.ended {
-            let room = self.buf.len() < USUAL_COMMAND_BYTES;
-            if room {
-                self.buf.reserve(READ_AHEAD);
-            }
+        while !self.leaving {
             tokio::select! {
                 biased;
                 reply = &mut answer => return Some(self.reply_text(reply.ok())),
-                n = self.socket.read_buf(&mut self.buf), if room => self.ended = n.ok()? == 0,
+                read = self.read_ahead() => read.ok()?,
             }
         }
         let reply = if wait_to_end { answer.await.ok() } else { answer.try_recv().ok() };
         Some(self.reply_text(reply))
     }
 
+    /// Reads input while a reply is awaited, as far as there is room, or else waits until the client's sending side closes.
+    async fn read_ahead(&mut self) -> std::io::Result<()> {
+        if self.buf.len() < USUAL_COMMAND_BYTES {
+            self.buf.reserve(READ_AHEAD);
+            self.ended = self.socket.read_buf(&mut self.buf).await? == 0;
+            self.leaving = self.leaving || self.ended;
+        } else {
+            until_sending_closes(&self.socket.0).await?;
+            self.leaving = true;
+        }
+        Ok(())
+    }
+
     /// Encodes a reply; None means that the message was not accepted, and the client is to retry.
     fn reply_text(&self, reply: Option<Reply>) -> String {
         let reply = reply.unwrap_or(Reply::Busy { retry_after_ms: 0 });
@@ -509,6 +526,22 @@
     }
 }
 
+/// Waits until the peer has closed its sending side, or the connection, also if input before that has not been read.
+async fn until_sending_closes(socket: &TcpStream) -> std::io::Result<()> {
+    // The readiness for priority data includes that the peer has closed its sending side, and no ordinary input.
+    while !socket.ready(Interest::PRIORITY).await?.is_read_closed() {}
+    Ok(())
+}
+
+/// Whether the peer is known to have closed its sending side, or the connection has failed.
+async fn sending_is_closed(socket: &TcpStream) -> bool {
+    tokio::select! {
+        biased;
+        _ = until_sending_closes(socket) => true,
+        () = std::future::ready(()) => false,
+    }
+}
+
 /// Accepts and serves connections until the sender stops and its connections close.
 /// A lame duck still accepts connections: the load balancer sends some until its next poll of the sender's readiness.
 pub async fn serve(
@@ -569,6 +602,7 @@
             buf,
             command_begun: now,
             ended: false,
+            leaving: false,
             long_command: None,
             deferred: None,
             driver,
--- a/crates/sender/tests/pipelining.rs
+++ b/crates/sender/tests/pipelining.rs
@@ -72,3 +72,53 @@
     });
     endpoint.wait_sent("sound");
 }
+
+/// Number of commands of one connection that are processed together.
+const GROUP: usize = 64;
+
+/// Starts a sender that may hold all the messages of one client.
+fn sender_with_much_room() -> (Endpoint, Platform, Sender) {
+    let endpoint = Endpoint::new(|_| status(200));
+    let platform = Platform::new(vec![listed_endpoint("s-1", endpoint.addr, "one", 3, "Ready")]);
+    let sender = Sender::with(&platform, |c| c["settings"]["Limits"]["MaxOpen"] = 1000.into());
+    sender.client().ping();
+    (endpoint, platform, sender)
+}
+
+// Requests that followed in the input of a client that had left were taken on and sent.
+#[test]
+fn a_client_that_sends_much_and_leaves_has_at_most_one_group_of_requests_taken_on() {
+    let (endpoint, _platform, sender) = sender_with_much_room();
+    for client in 0..8 {
+        let mut stream = TcpStream::connect(sender.addr).unwrap();
+        stream.write_all(&commands(client, b"x")).unwrap();
+        drop(stream);
+        thread::sleep(Duration::from_millis(200));
+    }
+    // A message that was taken on is called within this time.
+    thread::sleep(Duration::from_secs(2));
+    let called = endpoint.sent();
+    for client in 0..8 {
+        let count = called.iter().filter(|id| id.starts_with(&format!("{client:04x}"))).count();
+        assert!(count <= GROUP, "{count} messages of client {client} were called");
+    }
+}
+
+// Guards against a client that has only closed its sending side and is taken for one that has left.
+#[test]
+fn a_client_that_closes_its_sending_side_gets_a_true_answer_to_each_request() {
+    let (endpoint, _platform, sender) = sender_with_much_room();
+    let mut stream = TcpStream::connect(sender.addr).unwrap();
+    stream.set_read_timeout(Some(TEST_TIMEOUT)).unwrap();
+    stream.write_all(&commands(0, b"x")).unwrap();
+    stream.shutdown(std::net::Shutdown::Write).unwrap();
+    let answers: Vec<String> = BufReader::new(stream).lines().map_while(Result::ok).collect();
+    assert_eq!(answers.len(), COMMANDS);
+    for (n, answer) in answers.iter().enumerate() {
+        let id = format!("{:04x}{n:04x}", 0);
+        match answer.as_str() {
+            "+OK" => endpoint.wait_sent(&id),
+            busy => assert!(busy.starts_with("-BUSY") && endpoint.call_count(&id) == 0, "{id}: {busy}"),
+        }
+    }
+}
