Drains of a discovery that counts anew outlast a restart

What callers saw: after discovery's process at its address had been replaced by one whose versions begin at 1, a sender that was killed and started again while discovery was down called endpoints that the new process had told it to drain.

Cause: a recorded drain counts only against a configured list of a lower version. The drains of the new process have low versions of another count, so the configured list was taken for newer: the new process was taken for the old one.

Change: a drain that comes with a version not above every version that this process has had, the configuration's included, is recorded as later than any list. It stays in force until discovery lists the endpoint as ready.

Evidence: `drains_told_by_a_discovery_with_lower_versions_outlast_a_restart` in tests/drains_restart.rs, real processes, failed before.

--- a/crates/sender/src/daemon.rs
+++ b/crates/sender/src/daemon.rs
@@ -402,7 +402,7 @@
     let known = InitialList::from_config(config.known.map(|list| owned_part(list, placement.as_deref())));
     let taken = match &known {
         InitialList::Configured(list) if matches!(startup, Startup::InheritedSocket(_)) => {
-            Some(endpoints.borrow_mut().apply(&Listing { snapshot: true, ..list.clone() }))
+            Some((list.index, endpoints.borrow_mut().apply(&Listing { snapshot: true, ..list.clone() })))
         }
         _ => None,
     };
@@ -505,7 +505,7 @@
     // If discovery has sent nothing yet, the configured endpoint list is applied once more.
     // Endpoints that the journal records as draining are left out of the configured endpoint list.
     let known = match taken {
-        Some(entries) if !inbox.is_empty() => InitialList::Applied(entries),
+        Some((index, entries)) if !inbox.is_empty() => InitialList::Applied(index, entries),
         _ => known,
     };
     driver.run(inbox, known).await;
--- a/crates/sender/src/driver.rs
+++ b/crates/sender/src/driver.rs
@@ -51,6 +51,8 @@
 const MAX_ROUND_INTERVAL_US: Micros = 500_000;
 /// Placeholder for a message's remaining time, which [`Driver::set_time_left`] fills in when the round begins.
 const SET_IN_ROUND: Micros = 0;
+/// Version of a drain that is in force whatever version the configuration's endpoint list has.
+const LATER_THAN_ANY_LIST: u64 = u64::MAX;
 /// Error reply for a destination that occurs in no endpoint list.
 const UNKNOWN_DESTINATION: &str = "unknown destination";
 
@@ -124,6 +126,8 @@
     recovered: RecoveredMessages,
     /// Whether an endpoint list has been applied, without which nothing can be sent and no new message is accepted.
     list_known: bool,
+    /// The highest version of the endpoint lists that this process has had, including the configuration's.
+    highest_version: u64,
     /// The pending messages by request id.
     by_request: HashMap<String, MsgId>,
     /// The calls in flight, each with the channel that cancels it.
@@ -179,6 +183,7 @@
             pending: HashMap::new(),
             recovered: RecoveredMessages::default(),
             list_known: false,
+            highest_version: 0,
             by_request: HashMap::new(),
             calls_in_flight: HashMap::new(),
             next_call: 0,
@@ -285,7 +290,10 @@
             |e: &EndpointEntry| Some((endpoints.get(e.endpoint)?.name.clone(), e.status == Status::Up));
         let lines: Vec<_> = entries.iter().filter_map(line).collect();
         drop(endpoints);
-        self.write_journal(|j| j.record_endpoints_listed(index, &lines));
+        // A discovery process that has been started anew may count its versions from the beginning.
+        let version = if index > self.highest_version { index } else { LATER_THAN_ANY_LIST };
+        self.highest_version = self.highest_version.max(index);
+        self.write_journal(|j| j.record_endpoints_listed(version, &lines));
         self.events.push(Event::Listing { complete: full, entries });
     }
 
--- a/crates/sender/src/driver/start.rs
+++ b/crates/sender/src/driver/start.rs
@@ -18,9 +18,9 @@
     Missing,
     /// The configuration's endpoint listing, not applied to the endpoint table yet.
     Configured(Listing),
-    /// The entries of the configuration's listing, already applied to the endpoint table.
+    /// The version and the entries of the configuration's listing, already applied to the endpoint table.
     /// The listing must not be applied again: discovery's listing may have been applied since.
-    Applied(Vec<EndpointEntry>),
+    Applied(u64, Vec<EndpointEntry>),
 }
 
 impl InitialList {
@@ -43,9 +43,11 @@
     ) -> Option<Vec<Input>> {
         let deadline = tokio::time::Instant::now() + self.list_wait;
         self.list_known = !matches!(known, InitialList::Missing);
-        if let InitialList::Applied(entries) = known {
+        if let InitialList::Applied(index, entries) = known {
+            self.highest_version = index;
             self.events.push(Event::Listing { complete: true, entries });
         } else if let InitialList::Configured(mut list) = known {
+            self.highest_version = list.index;
             apply_recorded_drains(&mut list, &self.journal.borrow());
             let entries = self.endpoints.borrow_mut().apply(&Listing { snapshot: true, ..list });
             self.events.push(Event::Listing { complete: true, entries });
--- a/crates/sender/tests/drains_restart.rs
+++ b/crates/sender/tests/drains_restart.rs
@@ -88,3 +88,16 @@
     new.wait_sent("a1");
     assert_eq!(old.sent(), Vec::<String>::new());
 }
+
+// A new discovery process counted its versions from the beginning: the drains that it told were taken for older than the
+// configured list, and the endpoints were called again.
+#[test]
+fn drains_told_by_a_discovery_with_lower_versions_outlast_a_restart() {
+    let Drained { old, new, sender, .. } = Drained::restarted(0, 3.0, 2);
+    for n in 0..6 {
+        let id = format!("a{n}");
+        assert_eq!(sender.client().put(&id, PAY), "+OK");
+        new.wait_sent(&id);
+    }
+    assert_eq!(old.sent(), Vec::<String>::new());
+}
