A drain told while the folder fails is recorded once writes succeed

What callers saw: a drain that discovery told while writes to the folder failed was never recorded. A sender that was then killed and started again while discovery was down called the endpoint.

Change: the drain holds in the process at once, and its record is written with the next round in which writes succeed, in the order of names.

Evidence: `a_drain_told_while_the_folder_fails_outlasts_a_kill` in tests/failing_folder.rs, real processes, failed before (20 s without a record).

--- a/crates/sender/src/driver.rs
+++ b/crates/sender/src/driver.rs
@@ -485,6 +485,8 @@
         let now = self.clock.now();
         self.journal.borrow_mut().forget_expired_requests(now);
         self.retry_unrecorded_ends(now);
+        // The failure of the first attempt has been logged.
+        _ = self.journal.borrow_mut().record_unrecorded_listed();
         while let Some(Reverse((_, token))) = self.timers.peek().copied().filter(|t| t.0.0 <= now) {
             self.timers.pop();
             self.events.push(Event::Timer { token });
--- a/crates/sender/src/journal.rs
+++ b/crates/sender/src/journal.rs
@@ -237,6 +237,8 @@
     clock: Option<ClockAnchor>,
     /// Endpoints that are draining or gone, each with the version of the endpoint list that says so.
     not_ready: BTreeMap<String, u64>,
+    /// Endpoints whose record in `not_ready`, or whose removal from it, could not be written yet.
+    unrecorded_listed: BTreeSet<String>,
     /// The latest version of a drain that was dropped from `not_ready`; 0 if none was.
     forgotten_drains: u64,
     /// The requests of ended messages that must not take effect again.
@@ -322,6 +324,7 @@
             receivers_recorded: false,
             clock: None,
             not_ready: BTreeMap::new(),
+            unrecorded_listed: BTreeSet::new(),
             forgotten_drains: 0,
             ended_requests: EndedRequests::default(),
             rules: BTreeMap::new(),
@@ -704,17 +707,31 @@
     /// Records which endpoints are draining or gone. A restarted sender may be configured with an older endpoint list.
     /// A restarted sender must not send to draining or gone endpoints while discovery does not answer.
     pub fn record_endpoints_listed(&mut self, index: u64, lines: &[(String, bool)]) -> io::Result<()> {
-        for (name, ready) in lines.iter().filter(|(name, _)| name != FORGOTTEN_DRAINS) {
+        let lines = lines.iter().filter(|(name, _)| name != FORGOTTEN_DRAINS);
+        for (name, ready) in lines {
             let change = match self.not_ready.get(name) {
                 None if !ready => Some(index),
                 Some(_) if *ready => None,
                 _ => continue,
             };
-            self.append(Record::EndpointListed(name.clone(), change), 0)?;
+            // The change holds in this process from now on, also if its record can't be written yet.
+            self.apply(Record::EndpointListed(name.clone(), change), 0);
+            self.unrecorded_listed.insert(name.clone());
         }
+        self.record_unrecorded_listed()?;
         self.forget_oldest_drains()
     }
 
+    /// Writes the records of draining and gone endpoints that could not be written before.
+    pub fn record_unrecorded_listed(&mut self) -> io::Result<()> {
+        while let Some(name) = self.unrecorded_listed.first().cloned() {
+            let change = self.not_ready.get(&name).copied();
+            self.append(Record::EndpointListed(name.clone(), change), 0)?;
+            self.unrecorded_listed.remove(&name);
+        }
+        Ok(())
+    }
+
     /// Drops the oldest records of draining or gone endpoints if they take too much room.
     /// The version of the latest dropped one is kept: an endpoint list before it may name endpoints that were told to
     /// drain and are recorded no more.
--- a/crates/sender/tests/failing_folder.rs
+++ b/crates/sender/tests/failing_folder.rs
@@ -84,3 +84,35 @@
     // A notice counts up to 0.3 s after the message's time.
     assert!(begun.elapsed() < Duration::from_millis(2_300), "took {:?}", begun.elapsed());
 }
+
+// A drain that came while the folder could not be written was never recorded, and the next process called its endpoint.
+#[test]
+fn a_drain_told_while_the_folder_fails_outlasts_a_kill() {
+    let (old, new) = (Endpoint::new(|_| status(200)), Endpoint::new(|_| status(200)));
+    let listed =
+        [("s-1", &old), ("s-2", &new)].map(|(name, e)| listed_endpoint(name, e.addr, "one", 9, "Ready"));
+    let platform = Platform::new(listed.to_vec());
+    let (mut sender, switch) = sender_with(&platform);
+    sender.kill();
+    sender.change_config(|c| {
+        c["known"] = serde_json::json!({"index": 7, "snapshot": true, "endpoints": listed});
+    });
+    sender.spawn();
+    sender.client().ping();
+    std::fs::write(&switch, "").unwrap();
+    platform.publish(false, vec![listed_endpoint("s-1", old.addr, "one", 9, "Terminating")]);
+    wait_until("a failed write", || sender.log().contains("write failed"));
+    std::fs::remove_file(&switch).unwrap();
+    wait_until("the drain in the journal", || sender.journal_contains("s-1"));
+    sender.kill();
+    let silent = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    sender.change_config(|c| c["discovery"] = silent.local_addr().unwrap().to_string().into());
+    sender.spawn();
+    sender.client().ping();
+    for n in 0..6 {
+        let id = format!("a{n}");
+        assert_eq!(sender.client().put(&id, "c=pay,d=15000,dest=9"), "+OK");
+        new.wait_sent(&id);
+    }
+    assert_eq!(old.sent(), Vec::<String>::new());
+}
