A full folder is not rewritten for each message that it refuses

Evidence: tests/full_folder.rs, real process: 100 rewrites for 100 refused messages before; at most one is allowed.

--- a/crates/sender/src/journal.rs
+++ b/crates/sender/src/journal.rs
@@ -226,6 +226,8 @@
     path: PathBuf,
     file: File,
     len: u64,
+    /// The length of the file after the last compaction by this process; 0 before.
+    compacted_to: u64,
     limit: u64,
     entries: BTreeMap<u64, Entry>,
     health: BTreeMap<String, EndpointCondition>,
@@ -317,6 +319,7 @@
             path,
             file,
             len,
+            compacted_to: 0,
             limit,
             entries: BTreeMap::new(),
             health: BTreeMap::new(),
@@ -466,18 +469,22 @@
         self.write(frame, record)
     }
 
-    /// Compacts the journal if compaction is due or space is short, and fails if `size` more bytes do not fit.
+    /// Compacts the journal if compaction is due, or can make the room that `size` more bytes lack.
+    /// Fails if they do not fit.
     fn make_room(&mut self, size: u64, reserve: u64) -> io::Result<()> {
         if self.closed {
             return Err(io::Error::other("another process owns the journal"));
         }
-        let fits = |j: &Journal| j.len + j.compacted_len() + 2 * size + 2048 <= j.limit - reserve;
-        if self.len > MIN_COMPACT_BYTES.min(self.limit / 4) && self.len > 2 * self.compacted_len()
-            || !fits(self)
-        {
+        let available = self.limit.saturating_sub(reserve);
+        let missing = |j: &Journal| (j.len + j.compacted_len() + 2 * size + 2048).saturating_sub(available);
+        let is_due = self.len > MIN_COMPACT_BYTES.min(self.limit / 4) && self.len > 2 * self.compacted_len();
+        // The records of open messages stay, and right after a compaction another one frees nothing.
+        let may_free = self.len.saturating_sub(self.live_bytes);
+        let helps = self.len > self.compacted_to && missing(self) <= may_free;
+        if is_due || missing(self) > 0 && helps {
             self.compact()?;
         }
-        if !fits(self) {
+        if missing(self) > 0 {
             let text =
                 format!("the journal is full: {} bytes, limits.disk_mb allows {}", self.len, self.limit);
             return Err(io::Error::new(io::ErrorKind::StorageFull, text));
@@ -565,6 +572,7 @@
             return Err(e);
         }
         (self.file, self.len, self.torn) = (file, bytes.len() as u64, false);
+        self.compacted_to = self.len;
         self.rules.retain(|number, _| used.contains(number));
         let closed: Vec<u64> =
             self.entries.iter().filter(|(_, entry)| !is_open(entry)).map(|(id, _)| *id).collect();
