A withdrawn message of a lost sender does not count as delivered

A keyed message with `again=1`, withdrawn before its reply, was remembered as one that had run, since another sender may have called it; its client's next try got `+OK` without a call: lost.

Change: only a message that this sender has called is remembered.

Evidence: `a_withdrawn_request_of_a_lost_sender_is_called_when_it_comes_again` in tests/same_request.rs, real process, failed before.

--- a/crates/sender/src/journal.rs
+++ b/crates/sender/src/journal.rs
@@ -427,7 +427,9 @@
         let Some((number, rules)) = entry.rules.and_then(|n| Some((n, self.rules.get(&n)?))) else { return };
         let is_safe = ClassSettings::from(rules).effect == Effect::Safe;
         let returned = matches!(end, End::Returned { .. });
-        if is_safe || returned || progress.first_possible_run().is_none() {
+        // Without an attempt of this sender, a message that is closed was withdrawn by its client.
+        let never_ran = progress.attempts == 0 || progress.first_possible_run().is_none();
+        if is_safe || returned || never_ran {
             return;
         }
         let (class, deadline) = (accepted.class.clone(), accepted.deadline);
--- a/crates/sender/tests/same_request.rs
+++ b/crates/sender/tests/same_request.rs
@@ -140,3 +140,26 @@
     endpoint.wait_sent("c1");
     assert_eq!(endpoint.call_count("a1"), 1);
 }
+
+// Guards against a withdrawn message that counts as delivered since another sender may have called it before.
+#[test]
+fn a_withdrawn_request_of_a_lost_sender_is_called_when_it_comes_again() {
+    let again = "c=push,d=23900,dest=3,k=5c0f6e1a2b3d4c59,again=1";
+    let endpoint = Endpoint::new(|_| status(200));
+    let silent = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let (silent_addr, known) =
+        (silent.local_addr().unwrap(), listed_endpoint("s-1", endpoint.addr, "one", 3, "Ready"));
+    let sender = Sender::with(&Platform::new(Vec::new()), |c| {
+        c["discovery"] = silent_addr.to_string().into();
+        c["known"]["endpoints"] = vec![known.clone()].into();
+    });
+    // While the sender waits for a list, no message is answered.
+    let mut client = sender.client();
+    client.write(&put("a1", &format!("{again},t=acme"), b"hello"));
+    sleep(Duration::from_millis(150));
+    drop(client);
+    sender.client().ping();
+    assert_eq!(endpoint.call_count("a1"), 0);
+    assert_eq!(sender.client().put("a1", again), "+OK");
+    endpoint.wait_sent("a1");
+}
