--- a/crates/sender/src/driver/handover.rs
+++ b/crates/sender/src/driver/handover.rs
@@ -128,7 +128,7 @@
                 drop((endpoints, journal));
                 self.handle_call_end(
                     call,
-                    CallEnd { endpoint: EndpointId(u32::MAX), outcomes, elapsed, wait, report },
+                    CallEnd { endpoint: EndpointId::UNKNOWN, outcomes, elapsed, wait, report },
                 );
             }
             _ => {}
@@ -152,7 +152,7 @@
         drop(journal);
         if !outcomes.is_empty() {
             eprintln!("handover: the previous process exited with {} attempts in flight", outcomes.len());
-            let endpoint = EndpointId(u32::MAX);
+            let endpoint = EndpointId::UNKNOWN;
             self.handle_call_end(u64::MAX, CallEnd { endpoint, outcomes, elapsed: 0, wait: 0, report: None });
         }
     }
--- a/crates/sender/src/driver/start.rs
+++ b/crates/sender/src/driver/start.rs
@@ -105,7 +105,7 @@
             let known = names.get(&id).and_then(|name| endpoints.number(name));
             known.or_else(|| {
                 let at = unlisted.iter().position(|other| *other == id)?;
-                Some(EndpointId(u32::MAX - 1 - u32::try_from(at).ok()?))
+                Some(EndpointId(EndpointId::UNKNOWN.0 - 1 - u32::try_from(at).ok()?))
             })
         };
         inherited.renumber(number);
@@ -142,7 +142,7 @@
         let mut number = |name: &str| {
             let listed = endpoints.borrow().number(name);
             match listed {
-                None if list_known => EndpointId(u32::MAX),
+                None if list_known => EndpointId::UNKNOWN,
                 _ => listed.unwrap_or_else(|| endpoints.borrow_mut().reserve_number(name)),
             }
         };
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -16,6 +16,11 @@
 #[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct EndpointId(pub u32);
 
+impl EndpointId {
+    /// Stands for an endpoint that is in no endpoint list of this sender.
+    pub const UNKNOWN: EndpointId = EndpointId(u32::MAX);
+}
+
 /// The number of a destination: the receiver that a message is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
 #[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -10,7 +10,7 @@
 use crate::interface::*;
 use crate::measure::ConnectionTables;
 use crate::random::Random;
-use crate::repeats::{UNKNOWN_ENDPOINT, WINDOW_ATTEMPT_SHARE};
+use crate::repeats::WINDOW_ATTEMPT_SHARE;
 use crate::rotation::RotationPlace;
 use crate::state::*;
 use std::collections::{BTreeMap, BTreeSet};
@@ -225,7 +225,7 @@
         match event {
             Event::Listing { complete, entries } => self.apply_listing(*complete, entries),
             Event::Message { id, class, key, dest, time_left, resubmitted, may_have_run_since, .. } => {
-                let may_have_run = may_have_run_since.map(|since| (since, UNKNOWN_ENDPOINT));
+                let may_have_run = may_have_run_since.map(|since| (since, EndpointId::UNKNOWN));
                 let message = Message { class: *class, key: key.clone(), dest: *dest, ..Message::default() };
                 let message = Message { may_have_run, ..message };
                 self.admit(*id, message, *time_left, !resubmitted);
--- a/src/repeats.rs
+++ b/src/repeats.rs
@@ -8,8 +8,6 @@
 use crate::logic::Dispatcher;
 use crate::state::*;
 
-/// Number of no endpoint, for an attempt whose endpoint is not known.
-pub(crate) const UNKNOWN_ENDPOINT: EndpointId = EndpointId(u32::MAX);
 /// Maximum time from when a client sends a message until the sender handles it; a client waits no longer for an answer.
 const MAX_SUBMISSION_DELAY_US: Micros = 400_000;
 /// Maximum part of a keyed class's idempotency window that one attempt may take, so that a second attempt fits.
